--- /dev/null
+++ b/src/main/java/walnutfield/bench/Adapter.java
@@ -0,0 +1,324 @@
+package walnutfield.bench;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.util.MinimalPrettyPrinter;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import walnutfield.decide.Director;
+import walnutfield.play.Band;
+import walnutfield.play.CustomerId;
+import walnutfield.play.HostId;
+import walnutfield.play.HostLine;
+import walnutfield.play.Load;
+import walnutfield.play.Outcome;
+import walnutfield.play.PlaceId;
+import walnutfield.play.PlayId;
+import walnutfield.play.TitleId;
+import walnutfield.play.ViewerId;
+import walnutfield.play.Wanted;
+
+/** Speaks the bench's wire: decodes lines into calls of each instance's Director, and encodes its results. */
+public final class Adapter {
+    private static final Map<String, Outcome> OUTCOMES = Map.of("GOOD", Outcome.SERVED, "BAD", Outcome.FAILED,
+        "FULL", Outcome.TURNED_AWAY, "LATE", Outcome.TIMED_OUT, "NOCONN", Outcome.UNREACHABLE,
+        "RST", Outcome.BROKEN_OFF, "CXL", Outcome.CALLED_OFF, "NOP", Outcome.NOT_SENT);
+    private static final Map<String, HostLine.Standing> STANDINGS = Map.of("Ready", HostLine.Standing.READY,
+        "Terminating", HostLine.Standing.DRAINING, "Gone", HostLine.Standing.GONE);
+
+    /** An instance, from its start until it is killed. */
+    private record Instance(Settings settings, Director director) { }
+
+    private final ObjectMapper json = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+    private final Map<Integer, Instance> instances = new HashMap<>();
+    /** The lists last seen under each number, not yet read for any instance. */
+    private final Map<Integer, JsonNode> sheets = new HashMap<>();
+    private final JsonGenerator out;
+    private double now = Double.NaN;
+
+    private Adapter(OutputStream to) throws IOException {
+        out = json.createGenerator(to).disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
+        out.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
+    }
+
+    /** Runs to the end of input; the result is the program's exit status. */
+    public static int run(InputStream in, OutputStream to, PrintStream complaints) throws IOException {
+        Adapter adapter = new Adapter(to);
+        BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        long number = 0;
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            number++;
+            if (line.isBlank()) {
+                continue;
+            }
+            try {
+                adapter.take(line);
+            } catch (MalformedLine e) {
+                complaints.println("line " + number + ": " + e.getMessage());
+                return 1;
+            }
+        }
+        if (!Double.isNaN(adapter.now)) {
+            complaints.println("line " + number + ": the input ends within a batch");
+            return 1;
+        }
+        return 0;
+    }
+
+    private void take(String line) throws IOException {
+        JsonNode value;
+        try {
+            value = json.readTree(line);
+        } catch (JsonProcessingException e) {
+            throw new MalformedLine("not JSON: " + e.getOriginalMessage().replaceAll("\\s+", " "));
+        }
+        Fields f = new Fields(value);
+        String name = f.name();
+        if (name.equals("round")) {
+            if (!Double.isNaN(now)) {
+                throw new MalformedLine("a round begins within a round");
+            }
+            now = f.number();
+            return;
+        }
+        if (Double.isNaN(now)) {
+            throw new MalformedLine("'" + name + "' stands outside a round");
+        }
+        if (name.equals("overToYou")) {
+            now = Double.NaN;
+            Replies.line(out, "ready");
+            out.writeRaw('\n');
+            out.flush();
+        } else if (name.equals("sheet")) {
+            int number = f.small();
+            JsonNode entries = f.any();
+            if (entries == null || !entries.isArray()) {
+                throw new MalformedLine("the entries of a sheet are not an array");
+            }
+            sheets.put(number, entries);
+        } else {
+            event(name, f);
+        }
+    }
+
+    private void event(String name, Fields f) {
+        int number = f.small();
+        if (name.equals("attach")) {
+            long seed = f.whole();
+            JsonNode all = f.any();
+            if (all == null || !all.isObject()) {
+                throw new MalformedLine("the settings are not an object");
+            }
+            Settings settings = new Settings(all);
+            guarded(number, () ->
+                instances.put(number, new Instance(settings, settings.director(seed, new Replies(out, number)))));
+            return;
+        }
+        Instance to = instances.get(number);
+        if (to == null) {
+            throw new MalformedLine("instance " + number + " has not been started");
+        }
+        Runnable call = call(name, f, number, to);
+        guarded(number, call);
+    }
+
+    /** Decodes an event at once and gives back the call that it stands for. */
+    private Runnable call(String name, Fields f, int number, Instance to) {
+        Director d = to.director;
+        double t = now;
+        switch (name) {
+            case "shutdown":
+                return () -> instances.remove(number);
+            case "endpoints":
+                return list(f, d, to.settings);
+            case "workItem": {
+                PlayId play = new PlayId(f.whole());
+                String customer = f.textOrNone();
+                int best = f.smallOr(Integer.MAX_VALUE);
+                ViewerId viewer = new ViewerId(f.whole());
+                int holders = f.smallOr(0);
+                int marks = f.smallOr(0);
+                Band band = band(f, to.settings);
+                int first = f.smallOr(0);
+                double length = f.numberOr(0);
+                double left = f.numberOr(band.hardStopMs());
+                Wanted w = new Wanted(play, viewer, new TitleId(wholeOr(f)), customer(customer), band, first,
+                    holders, best, (marks & 8) != 0, length, left);
+                return () -> d.wanted(t, w);
+            }
+            case "preexisting": {
+                PlayId play = new PlayId(f.whole());
+                TitleId title = new TitleId(wholeOr(f));
+                int holders = f.smallOr(0);
+                int marks = f.smallOr(0);
+                HostId host = new HostId(f.text());
+                Band band = band(f, to.settings);
+                int best = f.smallOr(Integer.MAX_VALUE);
+                int first = f.smallOr(0);
+                ViewerId viewer = new ViewerId(f.whole());
+                double length = f.numberOr(0);
+                String customer = f.textOrNone();
+                Wanted w = new Wanted(play, viewer, title, customer(customer), band, first, holders, best,
+                    (marks & 8) != 0, length, f.numberOr(band.hardStopMs()));
+                return () -> d.playing(t, w, host);
+            }
+            case "interim": {
+                PlayId play = new PlayId(f.whole());
+                int kind = f.small();
+                HostId host = new HostId(f.text());
+                f.any();
+                double amount = f.number();
+                switch (kind) {
+                    case 1: return () -> d.shareTold(t, host, amount);
+                    case 2: return () -> d.rungTold(t, play, (int) amount);
+                    case 3: return () -> d.linkTold(t, host, amount);
+                    case 4: return () -> d.uplinkTold(t, host, amount);
+                    default: return () -> { };
+                }
+            }
+            case "firstByte": {
+                PlayId play = new PlayId(f.whole());
+                double took = f.number();
+                int leg = f.small();
+                HostId host = new HostId(f.text());
+                return () -> d.started(t, play, leg, host, took);
+            }
+            case "finished": {
+                PlayId play = new PlayId(f.whole());
+                HostId host = new HostId(f.text());
+                Outcome how = outcome(f);
+                boolean over = f.flag();
+                int leg = f.small();
+                double took = f.numberOr(0);
+                Load load = load(f.any(), to.settings.columns);
+                return () -> d.ended(t, play, leg, host, how, over, took, load);
+            }
+            case "timedOutClient": {
+                PlayId play = new PlayId(f.whole());
+                return () -> d.gaveUp(t, play);
+            }
+            case "probeDone": {
+                HostId host = new HostId(f.text());
+                Outcome how = outcome(f);
+                double took = f.numberOr(0);
+                Load load = load(f.any(), to.settings.columns);
+                return () -> d.probed(t, host, how, took, load);
+            }
+            case "timer": {
+                String mark = f.text();
+                return () -> d.woke(t, mark);
+            }
+            case "message":
+                return () -> { };
+            default:
+                throw new MalformedLine("unknown event '" + name + "'");
+        }
+    }
+
+    private Runnable list(Fields f, Director d, Settings settings) {
+        double t = now;
+        String kind = f.text();
+        f.any();
+        if (kind.equals("lost")) {
+            return () -> d.listLost(t);
+        }
+        int number = f.small();
+        JsonNode sheet = sheets.get(number);
+        if (sheet == null) {
+            throw new MalformedLine("there is no sheet " + number);
+        }
+        List<HostLine> lines = new ArrayList<>(sheet.size());
+        for (JsonNode row : sheet) {
+            Fields e = Fields.of(row);
+            HostId host = new HostId(e.text());
+            String place = e.textOrNone();
+            String machine = e.textOrNone();
+            int cell = e.smallOr(0);
+            String state = e.text();
+            HostLine.Standing standing = STANDINGS.get(state);
+            if (standing == null) {
+                throw new MalformedLine("unknown readiness '" + state + "'");
+            }
+            lines.add(new HostLine(host, new PlaceId(place == null ? "" : place),
+                machine == null ? 0 : settings.slots.getOrDefault(machine, 0), cell, standing,
+                e.numberOr(1), e.numberOr(0)));
+        }
+        switch (kind) {
+            case "incr": return () -> d.listChanged(t, lines);
+            case "total": return () -> d.listWhole(t, lines);
+            case "warm_copy": return () -> d.listRemembered(t, lines);
+            default: throw new MalformedLine("unknown kind of list '" + kind + "'");
+        }
+    }
+
+    private static long wholeOr(Fields f) {
+        return (long) f.numberOr(0);
+    }
+
+    private static CustomerId customer(String name) {
+        return name == null ? null : new CustomerId(name);
+    }
+
+    private static Band band(Fields f, Settings settings) {
+        String name = f.text();
+        Band band = settings.bands.get(name);
+        if (band == null) {
+            throw new MalformedLine("the settings have no class '" + name + "'");
+        }
+        return band;
+    }
+
+    private static Outcome outcome(Fields f) {
+        String word = f.text();
+        Outcome how = OUTCOMES.get(word);
+        if (how == null) {
+            throw new MalformedLine("unknown outcome '" + word + "'");
+        }
+        return how;
+    }
+
+    private static Load load(JsonNode row, List<String> columns) {
+        if (row == null || !row.isArray()) {
+            return Load.NONE;
+        }
+        double link = Double.NaN;
+        double cpu = Double.NaN;
+        double uplink = Double.NaN;
+        double streams = Double.NaN;
+        for (int i = 0; i < columns.size() && i < row.size(); i++) {
+            if (!row.get(i).isNumber()) {
+                continue;
+            }
+            double v = row.get(i).doubleValue();
+            switch (columns.get(i)) {
+                case "x0": link = v; break;
+                case "x1": uplink = v; break;
+                case "cpu": cpu = v; break;
+                case "active": streams = v; break;
+                default: break;
+            }
+        }
+        return new Load(Double.isNaN(link) ? cpu : link, uplink, streams);
+    }
+
+    private void guarded(int number, Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            StackTraceElement[] at = e.getStackTrace();
+            Replies.line(out, "broken", number, e + (at.length > 0 ? " at " + at[0] : ""));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/walnutfield/play/ReportTerms.java
@@ -0,0 +1,11 @@
+package walnutfield.play;
+
+/**
+ * How load becomes known.
+ *
+ * @param mayProbe     hosts may be probed
+ * @param probePrice   points of service, as a share, for one probe a play
+ * @param toldLateMs   how late figures about playing plays are
+ * @param askForList   the list of hosts comes only when asked for
+ */
+public record ReportTerms(boolean mayProbe, double probePrice, double toldLateMs, boolean askForList) { }
--- /dev/null
+++ b/src/main/java/walnutfield/play/TitleId.java
@@ -0,0 +1,4 @@
+package walnutfield.play;
+
+/** What is watched. */
+public record TitleId(long value) { }
