--- a/src/main/java/walnutfield/bench/Adapter.java
+++ b/src/main/java/walnutfield/bench/Adapter.java
@@ -183,8 +183,8 @@
                 switch (kind) {
                     case 1: return () -> d.shareTold(t, host, amount);
                     case 2: return () -> d.rungTold(t, play, (int) amount);
-                    case 3: return () -> d.linkTold(t, host, amount);
-                    case 4: return () -> d.uplinkTold(t, host, amount);
+                    case 3: return () -> d.loadTold(t, host, new Load(amount, Double.NaN, Double.NaN));
+                    case 4: return () -> d.loadTold(t, host, new Load(Double.NaN, amount, Double.NaN));
                     default: return () -> { };
                 }
             }
--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -1,22 +1,15 @@
 package walnutfield.decide;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
-import java.util.zip.CRC32;
+import java.util.*;
+import java.util.function.Predicate;
+import walnutfield.decide.Stage.Verdict;
 import walnutfield.play.*;
 
 /**
  * Decides who plays, where and at what quality, for one gateway that sees only its own traffic.
  * Called with the time of each thing that happens: lists of hosts (listRemembered, listWhole, listChanged,
- * listLost), wishes (wanted), plays already under way (playing), what becomes of legs (started, ended, gaveUp),
- * figures (shareTold, linkTold, uplinkTold, rungTold, probed) and the wake-ups it asked for (woke). All that it
+ * listLost), wishes (wanted), plays under way (playing), what becomes of legs (started, ended, gaveUp),
+ * figures (shareTold, loadTold, rungTold, probed), and wake-ups it asked for (woke). All that it
  * decides leaves through {@link walnutfield.play.Gateway}. It holds no clock, wire, I/O or thread.
  */
 public final class Director {
@@ -41,155 +34,23 @@
     private static final double PROBES_A_PLAY = 1.0; // at a price of PROBE_PRICE; fewer where they cost more
     private static final double PROBE_PRICE = 0.01;
     private static final double PROBE_STALE_MS = 1_500; // no host is probed whose figure is younger
-    private static final double QUANTILE = 0.9;     // house way: the quantile of answer times that judges a host
+    private static final double QUANTILE = 0.9;     // house way: this quantile of answer times judges a host
     private static final double SLOW_TIMES = 4;     // slow: so many times its fellows' quantile
     private static final double SLOW_LEAST_MS = 250; // and no less than this
     private static final double SUSPECT_MS = 2_000; // first time out of favour; doubles up to the next
     private static final double SUSPECT_MOST_MS = 8_000;
     private static final int GOOD_TO_CLEAR = 2;     // answers in a row that clear a suspect
-    private static final double JUDGED_MOST = 0.4;  // beyond this part of the fleet, slowness alone judges none
+    private static final double JUDGED_MOST = 0.4;  // beyond this part of the fleet slowness judges none
     private static final double COLD_MARGIN = 0.6;  // part of the pace that fells a cold host that we may use
-    private static final double HOLD_SHARE = 0.6;   // a play is held for this part of its expected time at most
+    private static final double HOLD_SHARE = 0.6;   // a play is held for this part of its expected time
     private static final double HOLD_OFF_MS = 1_000; // a viewer who is shed is told to come back after this
-    private static final double EDGE_MS = 30;       // a final leg's time-out falls so long before the hard stop
+    private static final double EDGE_MS = 30;       // a last leg's time-out falls so long before the stop
     private static final double SPAN_EDGE_MS = 50;  // the span of the legs' ration is taken longer by this
+    private static final double SHARE_BURST_MS = 10_000; // a customer may be ahead of its share by so much
+    private static final double AWAY_MS = 1_000;    // a host that turns a leg away is passed over for so long
+    private static final double LAST_RESORT = 1e6;  // taken off a suspect's score before its time
     private static final double LIFE_MS = 30_000;   // a play's length, until some have been seen to end
 
-    private enum Verdict { PASS, KEEP, END }
-
-    /** A step on a play's way out; what comes back runs the steps the other way. */
-    private interface Stage {
-        Verdict pass(Play p, double now);
-
-        default void back(Play p, Outcome how, double now) { }
-    }
-
-    /** A play, from being taken until it is over and its leg is in. */
-    private static final class Play {
-        final Wanted wish;
-        final double takenAt;
-        final double hardStop;
-        final List<Host> tried = new ArrayList<>();
-        Host host;
-        int rung;
-        int rungTold;
-        double rungAt;
-        double sentAt;
-        int legs;
-        boolean legOut;
-        boolean mayHaveRun;
-        boolean plays;
-        boolean answered;
-        boolean beyondShare;
-        double startedAt;
-
-        Play(Wanted wish, double now) {
-            this.wish = wish;
-            takenAt = now;
-            hardStop = now + wish.leftMs();
-            rung = rungTold = wish.band().floor();
-        }
-    }
-
-    /** Use of a link or uplink: the latest report, own load since, and a guess as the report fades. */
-    private static final class Gauge {
-        private final double[] at = new double[32]; // own load at past times; the oldest is overwritten
-        private final double[] was = new double[32];
-        private int next;
-        double own;
-        double told = Double.NaN;
-        double toldOf = Double.NEGATIVE_INFINITY;
-        double ownThen;
-        double cutAt = Double.NEGATIVE_INFINITY;
-
-        void add(double kb, double now) {
-            at[next % at.length] = now;
-            was[next % at.length] = own;
-            next++;
-            own = Math.max(0, own + kb);
-        }
-
-        private double ownAt(double time) {
-            double kb = own;
-            for (int i = next - 1; i >= 0 && i >= next - at.length && at[i % at.length] > time; i--) {
-                kb = was[i % at.length];
-            }
-            return kb;
-        }
-
-        /** Newer beats older by the time that a figure speaks of. */
-        void tell(double use, double of) {
-            if (of >= toldOf) {
-                told = use;
-                toldOf = of;
-                ownThen = ownAt(of);
-            }
-        }
-
-        double weight(double now) {
-            return Double.isNaN(told) ? 0 : Math.exp(-Math.max(0, now - toldOf) / FADE_MS);
-        }
-
-        double use(double now, double size, double guess) {
-            double w = weight(now);
-            return w == 0 ? guess : w * Math.max(own / size, told + (own - ownThen) / size) + (1 - w) * guess;
-        }
-    }
-
-    /** A rack and its uplink. */
-    private static final class Rack {
-        final Gauge uplink = new Gauge();
-        final List<Host> hosts = new ArrayList<>();
-    }
-
-    /** A media host as this gateway knows it; kept while listed or while own plays are there. */
-    private static final class Host {
-        final HostId id;
-        final Rack rack;
-        HostLine line;
-        final Gauge link = new Gauge();
-        final Map<PlayId, Play> plays = new LinkedHashMap<>(); // emptied as legs and plays end
-        double streamsTold = Double.NaN;
-        double streamsOf;
-        int streamsThen;
-        double share = 1;
-        double shareOf = Double.NEGATIVE_INFINITY;
-        double raisedAt = Double.NEGATIVE_INFINITY;
-        final double[] took = new double[16]; // latest answer times
-        int answers;
-        boolean suspect;
-        boolean silent;
-        double retryAt;
-        double outFor = SUSPECT_MS;
-        int goodInRow;
-        double coldSince = Double.NEGATIVE_INFINITY;
-        double unprovenSince = Double.NEGATIVE_INFINITY;
-        double lastSent = Double.NEGATIVE_INFINITY;
-        boolean probeOut;
-        double probedAt = Double.NEGATIVE_INFINITY;
-
-        Host(HostLine line, Rack rack) {
-            id = line.host();
-            this.line = line;
-            this.rack = rack;
-        }
-
-        boolean ready() {
-            return line.standing() == HostLine.Standing.READY;
-        }
-
-        /** The house's measure: a high quantile of the latest answer times; NaN while too few are known. */
-        double quantile() {
-            int n = Math.min(answers, took.length);
-            if (n < 3) {
-                return Double.NaN;
-            }
-            double[] sorted = Arrays.copyOf(took, n);
-            Arrays.sort(sorted);
-            return sorted[(int) Math.min(n - 1, Math.floor(QUANTILE * n))];
-        }
-    }
-
     private final Post post;
     private final Ladder ladder;
     private final LinkTerms links;
@@ -200,27 +61,22 @@
     private final MoveTerms moves;
     private final Gateway out;
     private final double middleKb;
-    private final Map<String, Host> hosts = new TreeMap<>(); // emptied as hosts leave the list and plays end
+    private final Map<String, Host> hosts = new TreeMap<>(); // emptied as hosts leave the list
     private final Map<Integer, Rack> racks = new TreeMap<>(); // one for each rack
     private final Map<PlayId, Play> plays = new LinkedHashMap<>(); // emptied as plays end
     private final Map<PlayId, Play> held = new LinkedHashMap<>(); // emptied as they go out or are given up
     private final Map<List<Object>, Integer> seats = new HashMap<>(); // emptied as plays end
-    private final Map<CustomerId, double[]> shares = new HashMap<>(); // one for each customer
-    private final ArrayDeque<Double> takes = new ArrayDeque<>(); // emptied as the span passes
-    private final ArrayDeque<Double> further = new ArrayDeque<>(); // emptied as the span passes
+    private final Map<CustomerId, Tokens> shares = new HashMap<>(); // one for each customer
+    private final Span takes, further; // plays taken and further legs; emptied as the ration's span passes
+    private double beyond = 1; // worth of a play beyond its customer's share
     private final List<Stage> chain = List.of(new Terms(), new Placing(), new Quality(), new Sending());
-    private long drawn;
+    private final Chance chance;
     private boolean begun;
-    private double kbAUnit;
-    private double sumSize = 1;
-    private double averageUse;
-    private double averageAt = Double.NEGATIVE_INFINITY;
-    private double fellows = Double.NaN;
-    private double nextRecheck;
-    private double probeTokens;
-    private double askAgainAt = Double.POSITIVE_INFINITY;
-    private double life = LIFE_MS;
-    private double credit = 1;
+    private double kbAUnit, sumSize = 1, totalOwn; // told links and own load
+    private double averageUse, averageAt = Double.NEGATIVE_INFINITY;
+    private double fellows = Double.NaN; // the fellows' usual quantile of answer times
+    private double nextRecheck, probeTokens, askAgainAt = Double.POSITIVE_INFINITY;
+    private double life = LIFE_MS, credit = 1; // usual length and credit of a play
 
     public Director(Post post, Ladder ladder, LinkTerms links, LegTerms legs, ColdTerms cold, ShedTerms sheds,
                     ReportTerms reports, MoveTerms moves, List<Share> shares, Gateway out) {
@@ -233,8 +89,13 @@
         this.reports = reports;
         this.moves = moves;
         this.out = out;
-        for (Share s : shares) { // plays a ms of this gateway's part, tokens left, time
-            this.shares.put(s.customer(), new double[] {s.playsPerS() / 1000 / post.gateways(), 0, 0});
+        chance = new Chance(post.seed());
+        takes = new Span(legs.spanMs() - SPAN_EDGE_MS);
+        further = new Span(legs.spanMs() + SPAN_EDGE_MS);
+        for (Share s : shares) {
+            double pace = s.playsPerS() / 1000 / post.gateways();
+            this.shares.put(s.customer(), new Tokens(pace, pace * SHARE_BURST_MS));
+            beyond = s.beyond();
         }
         int n = ladder.kb().size();
         middleKb = n == 0 ? 1 : Math.sqrt(ladder.kb().get(0) * ladder.kb().get(n - 1));
@@ -247,10 +108,7 @@
         for (Host h : hosts.values()) { // an old list: who runs now, and since when, is not proven
             h.unprovenSince = now;
         }
-        if (reports.askForList()) {
-            out.followList();
-            askAgainAt = Double.POSITIVE_INFINITY;
-        }
+        askAgainAt = reports.askForList() ? now : Double.POSITIVE_INFINITY;
         if (!begun) {
             begun = true;
             nextRecheck = now + RECHECK_MS;
@@ -264,8 +122,7 @@
         for (Host h : new ArrayList<>(hosts.values())) {
             if (!named.containsKey(h.id.value())) {
                 HostLine l = h.line;
-                take(new HostLine(l.host(), l.place(), l.slots(), l.cell(), HostLine.Standing.GONE,
-                    l.units(), l.launched()), now);
+                take(new HostLine(h.id, l.place(), l.slots(), l.cell(), HostLine.Standing.GONE, 0, 0), now);
             }
         }
         listChanged(now, lines);
@@ -283,7 +140,7 @@
         }
         if (kbAUnit == 0 && !cells.isEmpty()) { // told as of the start, when each cell has one host
             double all = cells.values().stream().mapToDouble(d -> d).sum();
-            kbAUnit = links.allKb() > 0 ? links.allKb() / all : links.unitKb() > 0 ? links.unitKb() : middleKb;
+            kbAUnit = links.allKb() > 0 ? links.allKb() / all : Math.max(links.unitKb(), middleKb);
         }
         sumSize = Math.max(1, sumSize * kbAUnit);
         averageAt = Double.NEGATIVE_INFINITY;
@@ -302,10 +159,11 @@
             }
             Rack rack = racks.computeIfAbsent(l.cell() % Math.max(1, links.racks()), k -> new Rack());
             h = new Host(l, rack);
+            h.outFor = SUSPECT_MS;
             rack.hosts.add(h);
             hosts.put(l.host().value(), h);
         } else if (l.launched() > h.line.launched()) { // it came back: what was known of it is void
-            h.answers = 0;
+            h.forgetAnswers();
             h.suspect = h.silent = false;
             h.outFor = SUSPECT_MS;
         }
@@ -316,8 +174,8 @@
         drop(h);
     }
 
-    private void drop(Host h) {
-        if (h.line.standing() == HostLine.Standing.GONE && h.plays.isEmpty()) {
+    private void drop(Host h) { // a host is forgotten when it is off the list and empty
+        if (h.line.standing() == HostLine.Standing.GONE && h.mine == 0) {
             hosts.remove(h.id.value());
             h.rack.hosts.remove(h);
         }
@@ -340,8 +198,19 @@
 
     // ---- What is known of use
 
+    private static double weight(Gauge g, double now) {
+        return Double.isNaN(g.told) ? 0 : Math.exp(-Math.max(0, now - g.toldOf) / FADE_MS);
+    }
+
+    /** The latest report with own load since; as it fades, the guess takes over. */
+    private static double use(Gauge g, double size, double guess, double now) {
+        double w = weight(g, now);
+        double told = Math.max(g.own / size, g.told + (g.own - g.ownThen) / size);
+        return w == 0 ? guess : w * told + (1 - w) * guess;
+    }
+
     private double linkUse(Host h, double now) {
-        return h.link.use(now, size(h, now), guess(h, now));
+        return use(h.link, size(h, now), guess(h, now), now);
     }
 
     /** Unheard hosts count as average, with more or less by what this gateway itself has there. */
@@ -352,25 +221,18 @@
         return Math.max(h.link.own / size, averageUse + h.link.own / size - mean);
     }
 
-    private double totalOwn;
-
     private void average(double now) {
         if (now - averageAt < LOOK_MS) {
             return;
         }
         averageAt = now;
-        totalOwn = 0;
-        double sum = 0;
+        totalOwn = hosts.values().stream().mapToDouble(h -> h.link.own).sum();
         double weight = 1;
-        for (Host h : hosts.values()) {
-            totalOwn += h.link.own;
-        }
-        sum = post.gateways() * totalOwn / sumSize; // exception: own plays stand for the fellows' as well
+        double sum = post.gateways() * totalOwn / sumSize; // exception: own plays stand for fellows' too
         for (Host h : hosts.values()) {
             if (h.ready() && !h.silent) {
-                double w = h.link.weight(now);
-                sum += w * h.link.use(now, size(h, now), 0);
-                weight += w;
+                weight += weight(h.link, now);
+                sum += weight(h.link, now) * use(h.link, size(h, now), 0, now);
             }
         }
         averageUse = sum / weight;
@@ -384,40 +246,34 @@
         for (Host h : r.hosts) {
             sum += h.silent ? 0 : linkUse(h, now) * size(h, now);
         }
-        return r.uplink.use(now, links.rackKb(), sum / links.rackKb());
+        return use(r.uplink, links.rackKb(), sum / links.rackKb(), now);
     }
 
     private double streams(Host h) {
-        return Double.isNaN(h.streamsTold) ? (double) h.plays.size() * post.gateways()
-            : Math.max(h.plays.size(), h.streamsTold + h.plays.size() - h.streamsThen);
+        return Double.isNaN(h.streamsTold) ? (double) h.mine * post.gateways()
+            : Math.max(h.mine, h.streamsTold + h.mine - h.streamsThen);
     }
 
-    private void heard(Host h, Load load, double now) {
+    private void heard(HostId id, Load load, double of) {
+        Host h = hosts.get(id.value());
+        if (h == null) {
+            return;
+        }
         if (!Double.isNaN(load.link())) {
-            h.link.tell(load.link(), now - LOOK_MS);
+            h.link.tell(load.link(), of);
         }
         if (!Double.isNaN(load.uplink())) {
-            h.rack.uplink.tell(load.uplink(), now - LOOK_MS);
+            h.rack.uplink.tell(load.uplink(), of);
         }
         if (!Double.isNaN(load.streams())) {
             h.streamsTold = load.streams();
-            h.streamsOf = now;
-            h.streamsThen = h.plays.size();
-        }
-    }
-
-    public void linkTold(double now, HostId id, double use) {
-        Host h = hosts.get(id.value());
-        if (h != null) {
-            h.link.tell(use, now - reports.toldLateMs());
+            h.streamsThen = h.mine;
         }
     }
 
-    public void uplinkTold(double now, HostId id, double use) {
-        Host h = hosts.get(id.value());
-        if (h != null) {
-            h.rack.uplink.tell(use, now - reports.toldLateMs());
-        }
+    /** Figures about plays that play: NaN for what is not told. */
+    public void loadTold(double now, HostId id, Load load) {
+        heard(id, load, now - reports.toldLateMs());
     }
 
     /** A share under 1 says that link or uplink is over by its inverse; fellows of the rack tell which. */
@@ -430,24 +286,19 @@
         h.share = share;
         h.shareOf = of;
         if (share >= FULL_SHARE) {
-            if (h.link.told > 1) {
-                h.link.tell(FULL_SHARE, of);
-            }
-            if (h.rack.uplink.told > 1) {
-                h.rack.uplink.tell(FULL_SHARE, of);
+            for (Gauge g : List.of(h.link, h.rack.uplink)) {
+                g.tell(g.told > 1 ? FULL_SHARE : g.told, g.told > 1 ? of : g.toldOf);
             }
             return;
         }
-        int mine = 0;
-        int shortOnes = 0;
-        double sum = 0;
+        double mine = 0, shortOnes = 0, sum = 0;
         for (Host f : h.rack.hosts) {
             boolean isShort = f.share < FULL_SHARE && of - f.shareOf < TOGETHER_MS;
-            mine += f.plays.isEmpty() ? 0 : 1;
+            mine += f.mine == 0 ? 0 : 1;
             shortOnes += isShort ? 1 : 0;
             sum += isShort ? f.share : 0;
         }
-        boolean denied = h.link.weight(now) > 0.5 && h.link.told < 0.95; // its own link report says otherwise
+        boolean denied = weight(h.link, now) > 0.5 && h.link.told < 0.95; // its link report says not it
         if (links.rackKb() > 0 && (denied || shortOnes >= 2 && shortOnes * 2 >= mine)) {
             h.rack.uplink.tell(Math.min(3, shortOnes / Math.max(0.1, sum)), of);
         } else {
@@ -494,11 +345,10 @@
     private void run(Play p, double now) {
         for (Stage s : chain) {
             Verdict v = s.pass(p, now);
-            if (v == Verdict.KEEP) {
-                return;
-            }
             if (v == Verdict.END) {
                 giveUp(p, now);
+            }
+            if (v != Verdict.PASS) {
                 return;
             }
         }
@@ -517,15 +367,17 @@
 
     public void started(double now, PlayId id, int leg, HostId on, double took) {
         Play p = plays.get(id);
-        if (p != null && p.host != null) {
+        if (p != null && p.host != null && !p.plays) {
             p.plays = p.answered = true;
             p.startedAt = now;
-            good(p.host, took, now);
+            p.host.legsOut--;
+            p.host.answered(took);
+            good(p.host, now);
         }
     }
 
-    public void ended(double now, PlayId id, int leg, HostId on, Outcome how, boolean over, double took, Load load) {
-        Host h = hosts.get(on.value());
+    public void ended(double now, PlayId id, int leg, HostId on, Outcome how, boolean over, double took,
+                      Load load) {
         Play p = plays.get(id);
         if (p == null || !p.legOut || leg != p.legs - 1) {
             return;
@@ -533,9 +385,7 @@
         for (int i = chain.size() - 1; i >= 0; i--) {
             chain.get(i).back(p, how, now);
         }
-        if (h != null) {
-            heard(h, load, now);
-        }
+        heard(on, load, now - LOOK_MS);
         if (over || p.answered) {
             plays.remove(id);
             if (p.plays && how == Outcome.SERVED) {
@@ -550,17 +400,17 @@
 
     public void gaveUp(double now, PlayId id) {
         Play p = plays.get(id);
-        if (p != null) {
-            p.answered = true;
-            held.remove(id);
-            if (!p.legOut) {
-                plays.remove(id);
-            }
+        held.remove(id);
+        if (p != null && p.legOut) {
+            p.answered = true; // its leg is still to come in
+        } else {
+            plays.remove(id);
         }
     }
 
     private void load(Play p, double now) {
-        p.host.plays.put(p.wish.play(), p);
+        p.host.mine++;
+        p.host.legsOut += p.plays ? 0 : 1;
         weigh(p, rate(p, p.rung), now);
         seats.merge(seat(p), 1, Integer::sum);
     }
@@ -592,13 +442,9 @@
             if (most > 0 && seats.getOrDefault(seat(p), 0) >= most) {
                 return Verdict.END;
             }
-            double[] share = shares.get(p.wish.customer());
+            Tokens share = shares.get(p.wish.customer());
             if (share != null && p.legs == 0 && !held.containsKey(p.wish.play())) {
-                double burst = share[0] * 10_000;
-                share[1] = share[2] == 0 ? burst : Math.min(burst, share[1] + (now - share[2]) * share[0]);
-                share[2] = now;
-                p.beyondShare = share[1] < 1;
-                share[1] -= p.beyondShare ? 0 : 1;
+                p.beyondShare = !share.take(now);
             }
             return Verdict.PASS;
         }
@@ -618,7 +464,8 @@
                 held.remove(p.wish.play());
                 return Verdict.PASS;
             }
-            double until = Math.min(p.takenAt + HOLD_SHARE * p.wish.band().expectedMs(), p.hardStop - 2 * LOOK_MS);
+            double patient = HOLD_SHARE * p.wish.band().expectedMs();
+            double until = Math.min(p.takenAt + patient, p.hardStop - 2 * LOOK_MS);
             if (now >= until || p.legs >= legs.most()) {
                 return Verdict.END;
             }
@@ -628,7 +475,8 @@
 
         @Override
         public void back(Play p, Outcome how, double now) {
-            p.host.plays.remove(p.wish.play());
+            p.host.mine--;
+            p.host.legsOut -= p.plays ? 0 : 1;
             weigh(p, -rate(p, p.rung), now);
             drop(p.host);
             if (how != Outcome.SERVED) {
@@ -637,40 +485,24 @@
         }
     }
 
+    /** The holder with the best score; a suspect before its time only where there is no other. */
     private Host best(Play p, double now, Host not) {
         Host best = null;
-        Host spareOne = null;
-        double bestScore = Double.NEGATIVE_INFINITY;
-        double spareScore = Double.NEGATIVE_INFINITY;
+        double most = Double.NEGATIVE_INFINITY;
         for (Host h : hosts.values()) {
             if (h == not || !h.ready() || !holds(h, p) || p.tried.contains(h) || now < mayTake(h, now)
-                || h.line.slots() > 0 && streams(h) >= h.line.slots()) {
-                continue;
-            }
-            double score = score(h, now);
-            if (h.suspect && (p.wish.band().paid() || h.probeOut || hasLegOut(h))) {
+                || now - h.turnedAwayAt < AWAY_MS
+                || h.line.slots() > 0 && streams(h) >= h.line.slots()
+                || h.suspect && (p.wish.band().paid() || h.probeOut || h.legsOut > 0)) {
                 continue; // a suspect is tried with one play at a time, never with a paid one
             }
-            if (h.suspect && now < h.retryAt) {
-                if (score > spareScore) {
-                    spareScore = score;
-                    spareOne = h;
-                }
-            } else if (score > bestScore) {
-                bestScore = score;
+            double score = score(h, now) - (h.suspect && now < h.retryAt ? LAST_RESORT : 0);
+            if (score > most) {
+                most = score;
                 best = h;
             }
         }
-        return best != null ? best : spareOne;
-    }
-
-    private boolean hasLegOut(Host h) {
-        for (Play p : h.plays.values()) {
-            if (!p.plays) {
-                return true;
-            }
-        }
-        return false;
+        return best;
     }
 
     private boolean holds(Host h, Play p) {
@@ -701,7 +533,7 @@
         return Math.max(turn, h.lastSent + gap);
     }
 
-    /** Quality: the top rung while the chosen host shows room, one lower for each step of use above the mark. */
+    /** Quality: the top rung while the chosen host shows room, one lower per step of use above the mark. */
     private final class Quality implements Stage {
         @Override
         public Verdict pass(Play p, double now) {
@@ -755,13 +587,7 @@
     }
 
     private boolean furtherAllowed(double now) {
-        while (!takes.isEmpty() && takes.peek() < now - legs.spanMs() + SPAN_EDGE_MS) {
-            takes.poll();
-        }
-        while (!further.isEmpty() && further.peek() < now - legs.spanMs() - SPAN_EDGE_MS) {
-            further.poll();
-        }
-        return legs.share() < 0 || further.size() + 1 <= legs.spare() + legs.share() * takes.size();
+        return legs.share() < 0 || further.count(now) + 1 <= legs.spare() + legs.share() * takes.count(now);
     }
 
     /** A leg's time-out: what fellows need, so that a further leg still fits; a paid play has just one. */
@@ -771,14 +597,14 @@
             return left;
         }
         double expected = p.takenAt + p.wish.band().expectedMs() - now;
-        double need = Double.isNaN(fellows) ? p.wish.band().expectedMs() / 2 : SLOW_TIMES * fellows;
-        return Math.min(left, Math.max(SLOW_LEAST_MS, Math.min(need, expected > 0 ? expected / 2 : left / 2)));
+        double half = (expected > 0 ? expected : left) / 2;
+        double need = Double.isNaN(fellows) ? half : Math.min(half, SLOW_TIMES * fellows);
+        return Math.min(left, Math.max(SLOW_LEAST_MS, need));
     }
 
     // ---- Health
 
-    private void good(Host h, double took, double now) {
-        h.took[h.answers++ % h.took.length] = took;
+    private void good(Host h, double now) {
         if (h.silent) { // it may have been away: reckon it as just started
             h.coldSince = Math.max(h.coldSince, now);
             h.silent = false;
@@ -796,7 +622,7 @@
             case TIMED_OUT -> doubt(h, true, "a leg timed out", now);
             case UNREACHABLE -> doubt(h, true, "unreachable", now);
             case BROKEN_OFF -> doubt(h, true, played ? "a play broke off" : "a leg broke off", now);
-            case TURNED_AWAY -> h.retryAt = Math.max(h.retryAt, now);
+            case TURNED_AWAY -> h.turnedAwayAt = now;
             default -> { }
         }
     }
@@ -822,10 +648,9 @@
         }
         h.probeOut = false;
         if (how == Outcome.SERVED) {
-            heard(h, load, now);
+            heard(id, load, now - LOOK_MS);
             if (h.suspect && h.silent) {
-                good(h, took, now);
-                h.answers--;
+                good(h, now);
             }
         } else if (how == Outcome.TIMED_OUT || how == Outcome.UNREACHABLE || how == Outcome.BROKEN_OFF) {
             doubt(h, true, "a probe went unanswered", now);
@@ -840,19 +665,9 @@
             run(p, now);
         }
         compare(now);
-        for (Host h : hosts.values()) {
-            ease(h.link, size(h, now), linkUse(h, now), h.plays.values(), now);
-        }
-        if (links.rackKb() > 0) {
-            for (Rack r : racks.values()) {
-                List<Play> there = new ArrayList<>();
-                r.hosts.forEach(h -> there.addAll(h.plays.values()));
-                ease(r.uplink, links.rackKb(), uplinkUse(r, now), there, now);
-            }
-        }
-        for (Host h : hosts.values()) {
-            raise(h, now);
-        }
+        hosts.values().forEach(h -> ease(h.link, linkUse(h, now), p -> p.host == h, now));
+        racks.values().forEach(r -> ease(r.uplink, uplinkUse(r, now), p -> p.host.rack == r, now));
+        hosts.values().forEach(h -> raise(h, now));
         if (now >= nextRecheck) {
             nextRecheck = now + RECHECK_MS;
             recheck(now);
@@ -867,13 +682,12 @@
     /** The house way: a host is judged by a high quantile of its answer times against its fellows'. */
     private void compare(double now) {
         List<Double> all = new ArrayList<>();
-        int out = 0;
-        int listed = 0;
+        int out = 0, listed = 0;
         for (Host h : hosts.values()) {
             listed += h.ready() ? 1 : 0;
             out += h.ready() && h.suspect ? 1 : 0;
-            if (!Double.isNaN(h.quantile())) {
-                all.add(h.quantile());
+            if (!Double.isNaN(h.quantile(QUANTILE))) {
+                all.add(h.quantile(QUANTILE));
             }
         }
         if (all.size() < 3) {
@@ -884,78 +698,66 @@
         double slow = Math.max(SLOW_LEAST_MS, SLOW_TIMES * fellows);
         for (Host h : hosts.values()) {
             double worst = 0;
-            for (Play p : h.plays.values()) { // a leg still out tells before it times out
-                worst = p.plays ? worst : Math.max(worst, now - p.sentAt);
+            for (Play p : plays.values()) { // a leg still out tells before it times out
+                worst = p.host == h && p.legOut && !p.plays ? Math.max(worst, now - p.sentAt) : worst;
             }
-            if (!h.suspect && h.ready() && out < JUDGED_MOST * listed && (worst > slow || h.quantile() > slow)) {
-                doubt(h, false, "slow, " + Math.max(worst, h.quantile()) + " ms against " + fellows, now);
-                h.answers = 0;
+            worst = Math.max(worst, Double.isNaN(h.quantile(QUANTILE)) ? 0 : h.quantile(QUANTILE));
+            if (!h.suspect && h.ready() && out < JUDGED_MOST * listed && worst > slow) {
+                doubt(h, false, "slow, " + worst + " ms against " + fellows, now);
+                h.forgetAnswers();
                 out++;
             }
         }
     }
 
-    private double earnsAKb(Play p, int from, int to) {
-        double value = p.wish.band().credit() * (p.beyondShare ? 0.1 : 1)
-            * Math.abs(ladder.credit().get(to) - ladder.credit().get(from));
-        return value / Math.max(1e-9, Math.abs(rate(p, to) - rate(p, from)));
+    /** What the step up to a rung earns for each kB of its rate. */
+    private double earnsAKb(Play p, int rung) {
+        double value = p.wish.band().credit() * (p.beyondShare ? beyond : 1)
+            * (ladder.credit().get(rung) - ladder.credit().get(rung - 1));
+        return value / Math.max(1e-9, rate(p, rung) - rate(p, rung - 1));
     }
 
     /** Steps playing plays down under pressure, least earned a kB first, by our part of what is over. */
-    private void ease(Gauge g, double size, double use, Iterable<Play> there, double now) {
+    private void ease(Gauge g, double use, Predicate<Play> there, double now) {
         if (use <= HIGH || g.toldOf <= g.cutAt && now - g.cutAt < CUT_WAIT_MS) {
             return;
         }
         g.cutAt = now;
         double need = g.own * (use - CUT_TO) / use;
         Map<Play, Integer> to = new LinkedHashMap<>();
-        for (Play p : there) {
-            if (p.plays && p.rung > p.wish.band().floor() && now - p.rungAt >= RUNG_GAP_MS) {
-                to.put(p, p.rung);
+        List<Play> steps = new ArrayList<>(); // each play once for each rung that it can give
+        for (Play p : plays.values()) {
+            if (p.plays && there.test(p) && now - p.rungAt >= RUNG_GAP_MS) {
+                steps.addAll(Collections.nCopies(p.rung - p.wish.band().floor(), p));
             }
         }
-        while (need > 0) {
-            Play least = null;
-            double earns = Double.POSITIVE_INFINITY;
-            for (Map.Entry<Play, Integer> e : to.entrySet()) {
-                int r = e.getValue();
-                if (r > e.getKey().wish.band().floor() && earnsAKb(e.getKey(), r, r - 1) < earns) {
-                    earns = earnsAKb(e.getKey(), r, r - 1);
-                    least = e.getKey();
-                }
-            }
-            if (least == null) {
-                break;
-            }
-            int r = to.get(least);
-            need -= rate(least, r) - rate(least, r - 1);
-            to.put(least, r - 1);
+        while (need > 0 && !steps.isEmpty()) {
+            Play p = Collections.min(steps,
+                Comparator.comparing(q -> earnsAKb(q, to.getOrDefault(q, q.rung))));
+            int rung = to.getOrDefault(p, p.rung);
+            need -= rate(p, rung) - rate(p, rung - 1);
+            to.put(p, rung - 1);
+            steps.remove(p);
         }
-        to.forEach((p, r) -> change(p, r, now));
+        to.forEach((p, rung) -> change(p, rung, now));
     }
 
     /** Steps playing plays up where there is room, most earned a kB first, by our part of the room. */
     private void raise(Host h, double now) {
-        if (now - h.raisedAt < RAISE_MS || h.plays.isEmpty() || h.suspect) {
+        if (now - h.raisedAt < RAISE_MS || h.mine == 0 || h.suspect) {
             return;
         }
         double room = size(h, now) * (RAISE_TO - linkUse(h, now));
         if (links.rackKb() > 0) {
             room = Math.min(room, links.rackKb() * (RAISE_TO - uplinkUse(h.rack, now)));
         }
-        room /= post.gateways();
-        Play best = null;
-        for (Play p : h.plays.values()) {
-            if (p.plays && p.rung < top(p) && now - p.rungAt >= RUNG_GAP_MS && !p.beyondShare
-                && rate(p, p.rung + 1) - rate(p, p.rung) <= room
-                && (best == null || earnsAKb(p, p.rung, p.rung + 1) > earnsAKb(best, best.rung, best.rung + 1))) {
-                best = p;
-            }
-        }
-        if (best != null) {
-            h.raisedAt = now;
-            change(best, best.rung + 1, now);
-        }
+        double most = room / post.gateways();
+        plays.values().stream().filter(p -> p.host == h && p.plays && p.rung < top(p) && !p.beyondShare
+                && now - p.rungAt >= RUNG_GAP_MS && rate(p, p.rung + 1) - rate(p, p.rung) <= most)
+            .max(Comparator.comparing(p -> earnsAKb(p, p.rung + 1))).ifPresent(p -> {
+                h.raisedAt = now;
+                change(p, p.rung + 1, now);
+            });
     }
 
     private void change(Play p, int rung, double now) {
@@ -975,13 +777,14 @@
             if (now - h.shareOf > TOGETHER_MS + reports.toldLateMs() || lost <= 0) {
                 continue;
             }
-            for (Play p : new ArrayList<>(h.plays.values())) {
+            for (Play p : plays.values()) {
                 double saves = lost * p.wish.band().credit() * ladder.credit().get(p.rung)
                     * Math.min(MOVE_SEES_MS, Math.max(0, left(p, now)));
-                if (most > 0 && p.plays && (!p.wish.moved() || now - p.takenAt > MOVE_GAP_MS)
+                if (most > 0 && p.host == h && p.plays && (!p.wish.moved() || now - p.takenAt > MOVE_GAP_MS)
                     && saves > MOVE_WORTH * moves.price() * credit * life) {
                     Host to = best(p, now, h);
-                    if (to != null && !to.suspect && score(to, now) > score(h, now) + rate(p, p.rung) / middleKb) {
+                    double need = score(h, now) + rate(p, p.rung) / middleKb;
+                    if (to != null && !to.suspect && score(to, now) > need) {
                         most--;
                         out.move(p.wish.play());
                         out.log("moved a play off " + h.id.value() + ": share " + h.share);
@@ -1003,7 +806,7 @@
         Host best = null;
         double most = PROBE_STALE_MS;
         for (Host h : hosts.values()) {
-            double stale = Math.min(60_000, now - Math.max(h.link.toldOf, h.probedAt)) + chance();
+            double stale = Math.min(60_000, now - Math.max(h.link.toldOf, h.probedAt)) + chance.next();
             if (h.suspect) {
                 stale = now >= h.retryAt && now - h.probedAt > LOOK_MS * 5 ? 100_000 : 0;
             }
@@ -1019,14 +822,4 @@
             out.probe(best.id);
         }
     }
-
-    /** Chance from the seed and a counter. */
-    private double chance() {
-        CRC32 crc = new CRC32();
-        long n = post.seed() + 0x9E3779B97F4A7C15L * drawn++;
-        for (int i = 0; i < 8; i++) {
-            crc.update((int) (n >>> (8 * i)));
-        }
-        return crc.getValue() / 4294967296.0;
-    }
 }
--- /dev/null
+++ b/src/main/java/walnutfield/decide/Rack.java
@@ -0,0 +1,10 @@
+package walnutfield.decide;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** State of a rack: its uplink and its hosts. */
+final class Rack {
+    final Gauge uplink = new Gauge();
+    final List<Host> hosts = new ArrayList<>();
+}
