--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -21,13 +21,12 @@
     private static final double MOVE_PACE = 0.1;    // part of own plays moved at one re-check, one at least
     private static final double MOVE_WORTH = 1.5;   // a move must save so many times its price
     private static final double MOVE_SEES_MS = 10_000; // a shortage is reckoned to last so much longer
-    private static final double MARK = 0.70;        // use up to which a new play gets its top rung
+    private static final double MARK = 0.75;        // use up to which a new play gets its top rung
     private static final double STEP = 0.06;        // and one rung less for each such step above
-    private static final double HIGH = 0.90;        // use from which playing plays are stepped down
-    private static final double CUT_TO = 0.80;      // and to which
-    private static final double RAISE_TO = 0.72;    // playing plays are stepped up while use stays under this
+    private static final double HIGH = 1.03;        // use from which playing plays are stepped down
+    private static final double CUT_TO = 0.90;      // and to which
+    private static final double RAISE_TO = 0.70;    // playing plays are stepped up while use stays under this
     private static final double RAISE_MS = 2_000;   // a host's plays are stepped up so often at most
-    private static final double CUT_WAIT_MS = 3_000; // wait for a newer figure before cutting again, so long
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
     private static final double FULL_SHARE = 0.98;  // a delivered share above this is no shortage
@@ -719,7 +718,7 @@
 
     /** Steps playing plays down under pressure, least earned a kB first, by our part of what is over. */
     private void ease(Gauge g, double use, Predicate<Play> there, double now) {
-        if (use <= HIGH || g.toldOf <= g.cutAt && now - g.cutAt < CUT_WAIT_MS) {
+        if (use <= HIGH || g.toldOf <= g.cutAt) {
             return;
         }
         g.cutAt = now;
