Wider steps of rungs, cuts only well over full, fellows' change taken as our own

Cause: plays at the dearest rungs crowd the rest to the lowest; a surge is seen by each gateway only in part.

--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -21,17 +21,16 @@
     private static final double MOVE_PACE = 0.1;    // part of own plays moved at one re-check, one at least
     private static final double MOVE_WORTH = 1.5;   // a move must save so many times its price
     private static final double MOVE_SEES_MS = 10_000; // a shortage is reckoned to last so much longer
-    private static final double MARK = 0.75;        // use up to which a new play gets its top rung
-    private static final double STEP = 0.06;        // and one rung less for each such step above
-    private static final double HIGH = 1.03;        // use from which playing plays are stepped down
-    private static final double CUT_TO = 0.90;      // and to which
+    private static final double MARK = 0.70;        // use up to which a new play gets its top rung
+    private static final double STEP = 0.12;        // and one rung less for each such step above
+    private static final double HIGH = 1.08;        // use from which playing plays are stepped down
+    private static final double CUT_TO = 0.95;      // and to which
     private static final double RAISE_TO = 0.70;    // playing plays are stepped up while use stays under this
     private static final double RAISE_MS = 2_000;   // a host's plays are stepped up so often at most
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
     private static final double FULL_SHARE = 0.98;  // a delivered share above this is no shortage
-    private static final double PROBES_A_PLAY = 1.0; // at a price of PROBE_PRICE; fewer where they cost more
-    private static final double PROBE_PRICE = 0.01;
+    private static final double PROBE_PRICE = 0.01; // one probe a play at this price, at most two when cheaper
     private static final double PROBE_STALE_MS = 1_500; // no host is probed whose figure is younger
     private static final double QUANTILE = 0.9;     // house way: this quantile of answer times judges a host
     private static final double SLOW_TIMES = 4;     // slow: so many times its fellows' quantile
@@ -59,7 +58,7 @@
     private final ReportTerms reports;
     private final MoveTerms moves;
     private final Gateway out;
-    private final double middleKb;
+    private final double middleKb, rackKb;
     private final Map<String, Host> hosts = new TreeMap<>(); // emptied as hosts leave the list
     private final Map<Integer, Rack> racks = new TreeMap<>(); // one for each rack
     private final Map<PlayId, Play> plays = new LinkedHashMap<>(); // emptied as plays end
@@ -70,8 +69,8 @@
     private double beyond = 1; // worth of a play beyond its customer's share
     private final List<Stage> chain = List.of(new Terms(), new Placing(), new Quality(), new Sending());
     private final Chance chance;
-    private boolean begun;
-    private double kbAUnit, sumSize = 1, totalOwn; // told links and own load
+    private final Gauge all = new Gauge(); // own load everywhere
+    private double kbAUnit, sumSize = 1; // told links
     private double averageUse, averageAt = Double.NEGATIVE_INFINITY;
     private double fellows = Double.NaN; // the fellows' usual quantile of answer times
     private double nextRecheck, probeTokens, askAgainAt = Double.POSITIVE_INFINITY;
@@ -96,6 +95,7 @@
             this.shares.put(s.customer(), new Tokens(pace, pace * SHARE_BURST_MS));
             beyond = s.beyond();
         }
+        rackKb = links.rackKb() > 0 ? links.rackKb() : Double.MAX_VALUE;
         int n = ladder.kb().size();
         middleKb = n == 0 ? 1 : Math.sqrt(ladder.kb().get(0) * ladder.kb().get(n - 1));
     }
@@ -108,8 +108,7 @@
             h.unprovenSince = now;
         }
         askAgainAt = reports.askForList() ? now : Double.POSITIVE_INFINITY;
-        if (!begun) {
-            begun = true;
+        if (nextRecheck == 0) {
             nextRecheck = now + RECHECK_MS;
             out.wake(now + LOOK_MS, "look");
         }
@@ -197,14 +196,25 @@
 
     // ---- What is known of use
 
+    /** Newer beats older by the time that a figure speaks of. */
+    private void tell(Gauge g, double use, double of) {
+        if (of >= g.toldOf) {
+            g.told = use;
+            g.toldOf = of;
+            g.ownThen = g.ownAt(of);
+            g.allThen = all.ownAt(of);
+        }
+    }
+
     private static double weight(Gauge g, double now) {
         return Double.isNaN(g.told) ? 0 : Math.exp(-Math.max(0, now - g.toldOf) / FADE_MS);
     }
 
     /** The latest report with own load since; as it fades, the guess takes over. */
-    private static double use(Gauge g, double size, double guess, double now) {
+    private double use(Gauge g, double size, double guess, double now) {
         double w = weight(g, now);
-        double told = Math.max(g.own / size, g.told + (g.own - g.ownThen) / size);
+        double fellows = (post.gateways() - 1) * (all.own - g.allThen) / sumSize; // exception: as ours, so theirs
+        double told = Math.max(g.own / size, g.told + (g.own - g.ownThen) / size + fellows);
         return w == 0 ? guess : w * told + (1 - w) * guess;
     }
 
@@ -216,7 +226,7 @@
     private double guess(Host h, double now) {
         average(now);
         double size = size(h, now);
-        double mean = totalOwn / sumSize;
+        double mean = all.own / sumSize;
         return Math.max(h.link.own / size, averageUse + h.link.own / size - mean);
     }
 
@@ -225,9 +235,8 @@
             return;
         }
         averageAt = now;
-        totalOwn = hosts.values().stream().mapToDouble(h -> h.link.own).sum();
         double weight = 1;
-        double sum = post.gateways() * totalOwn / sumSize; // exception: own plays stand for fellows' too
+        double sum = post.gateways() * all.own / sumSize; // exception: own plays stand for fellows' too
         for (Host h : hosts.values()) {
             if (h.ready() && !h.silent) {
                 weight += weight(h.link, now);
@@ -237,15 +246,10 @@
         averageUse = sum / weight;
     }
 
+    /** A rack's uplink, guessed from its hosts' links; where none is told it is never the narrower one. */
     private double uplinkUse(Rack r, double now) {
-        if (links.rackKb() <= 0) {
-            return 0;
-        }
-        double sum = 0;
-        for (Host h : r.hosts) {
-            sum += h.silent ? 0 : linkUse(h, now) * size(h, now);
-        }
-        return use(r.uplink, links.rackKb(), sum / links.rackKb(), now);
+        double sum = r.hosts.stream().mapToDouble(h -> h.silent ? 0 : linkUse(h, now) * size(h, now)).sum();
+        return use(r.uplink, rackKb, sum / rackKb, now);
     }
 
     private double streams(Host h) {
@@ -259,10 +263,10 @@
             return;
         }
         if (!Double.isNaN(load.link())) {
-            h.link.tell(load.link(), of);
+            tell(h.link, load.link(), of);
         }
         if (!Double.isNaN(load.uplink())) {
-            h.rack.uplink.tell(load.uplink(), of);
+            tell(h.rack.uplink, load.uplink(), of);
         }
         if (!Double.isNaN(load.streams())) {
             h.streamsTold = load.streams();
@@ -286,7 +290,7 @@
         h.shareOf = of;
         if (share >= FULL_SHARE) {
             for (Gauge g : List.of(h.link, h.rack.uplink)) {
-                g.tell(g.told > 1 ? FULL_SHARE : g.told, g.told > 1 ? of : g.toldOf);
+                tell(g, g.told > 1 ? FULL_SHARE : g.told, g.told > 1 ? of : g.toldOf);
             }
             return;
         }
@@ -298,10 +302,10 @@
             sum += isShort ? f.share : 0;
         }
         boolean denied = weight(h.link, now) > 0.5 && h.link.told < 0.95; // its link report says not it
-        if (links.rackKb() > 0 && (denied || shortOnes >= 2 && shortOnes * 2 >= mine)) {
-            h.rack.uplink.tell(Math.min(3, shortOnes / Math.max(0.1, sum)), of);
+        if (denied || shortOnes >= 2 && shortOnes * 2 >= mine) {
+            tell(h.rack.uplink, Math.min(3, shortOnes / Math.max(0.1, sum)), of);
         } else {
-            h.link.tell(Math.min(3, 1 / Math.max(0.1, share)), of);
+            tell(h.link, Math.min(3, 1 / Math.max(0.1, share)), of);
         }
     }
 
@@ -312,8 +316,7 @@
         plays.put(wish.play(), p);
         takes.add(now);
         credit += 0.02 * (wish.band().credit() - credit);
-        probeTokens = Math.min(4, probeTokens + PROBES_A_PLAY
-            * (reports.probePrice() > 0 ? Math.min(2, PROBE_PRICE / reports.probePrice()) : 2));
+        probeTokens = Math.min(4, probeTokens + Math.min(2, PROBE_PRICE / reports.probePrice()));
         run(p, now);
     }
 
@@ -417,6 +420,7 @@
     private void weigh(Play p, double kb, double now) {
         p.host.link.add(kb, now);
         p.host.rack.uplink.add(kb, now);
+        all.add(kb, now);
     }
 
     private static List<Object> seat(Play p) {
@@ -512,10 +516,7 @@
 
     /** The design's score: spare rate, in plays at the middle rate, plus 1 over the percentage of streams. */
     private double score(Host h, double now) {
-        double spare = size(h, now) * (1 - linkUse(h, now));
-        if (links.rackKb() > 0) {
-            spare = Math.min(spare, links.rackKb() * (1 - uplinkUse(h.rack, now)));
-        }
+        double spare = Math.min(size(h, now) * (1 - linkUse(h, now)), rackKb * (1 - uplinkUse(h.rack, now)));
         double percent = h.line.slots() > 0 ? 100 * streams(h) / h.line.slots() : 100;
         return spare / middleKb + 1 / Math.max(1, percent);
     }
@@ -541,10 +542,7 @@
             double use = linkUse(p.host, now);
             double uplink = uplinkUse(p.host.rack, now);
             for (int steps = 0; rung > p.wish.band().floor(); rung--, steps++) {
-                double then = use + rate(p, rung) / size;
-                if (links.rackKb() > 0) {
-                    then = Math.max(then, uplink + rate(p, rung) / links.rackKb());
-                }
+                double then = Math.max(use + rate(p, rung) / size, uplink + rate(p, rung) / rackKb);
                 if (then <= MARK + STEP * steps) {
                     break;
                 }
@@ -746,10 +744,8 @@
         if (now - h.raisedAt < RAISE_MS || h.mine == 0 || h.suspect) {
             return;
         }
-        double room = size(h, now) * (RAISE_TO - linkUse(h, now));
-        if (links.rackKb() > 0) {
-            room = Math.min(room, links.rackKb() * (RAISE_TO - uplinkUse(h.rack, now)));
-        }
+        double room = Math.min(size(h, now) * (RAISE_TO - linkUse(h, now)),
+            rackKb * (RAISE_TO - uplinkUse(h.rack, now)));
         double most = room / post.gateways();
         plays.values().stream().filter(p -> p.host == h && p.plays && p.rung < top(p) && !p.beyondShare
                 && now - p.rungAt >= RUNG_GAP_MS && rate(p, p.rung + 1) - rate(p, p.rung) <= most)
--- a/src/main/java/walnutfield/decide/Gauge.java
+++ b/src/main/java/walnutfield/decide/Gauge.java
@@ -2,13 +2,14 @@
 
 /** State of a link or uplink: own load now and lately, and the latest figure of all use there. */
 final class Gauge {
-    private final double[] at = new double[64]; // changes of own load; the oldest is overwritten
-    private final double[] was = new double[64];
+    private final double[] at = new double[128]; // changes of own load; the oldest is overwritten
+    private final double[] was = new double[128];
     private int next;
     double own;
     double told = Double.NaN;
     double toldOf = Double.NEGATIVE_INFINITY;
-    double ownThen;
+    double ownThen; // own load there, and everywhere, at that time
+    double allThen;
     double cutAt = Double.NEGATIVE_INFINITY;
 
     void add(double kb, double now) {
@@ -18,20 +19,11 @@
         own = Math.max(0, own + kb);
     }
 
-    private double ownAt(double time) {
+    double ownAt(double time) {
         double kb = own;
         for (int i = next - 1; i >= 0 && i >= next - at.length && at[i % at.length] > time; i--) {
             kb = was[i % at.length];
         }
         return kb;
     }
-
-    /** Newer beats older by the time that a figure speaks of. */
-    void tell(double use, double of) {
-        if (of >= toldOf) {
-            told = use;
-            toldOf = of;
-            ownThen = ownAt(of);
-        }
-    }
 }
