--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -30,7 +30,7 @@
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
     private static final double FULL_SHARE = 0.98;  // a delivered share above this is no shortage
-    private static final double PROBE_PRICE = 0.01; // one probe a play at this price, at most two when cheaper
+    private static final double PROBE_PRICE = 0.01; // one probe a play at this price, two where cheap
     private static final double PROBE_STALE_MS = 1_500; // no host is probed whose figure is younger
     private static final double QUANTILE = 0.9;     // house way: this quantile of answer times judges a host
     private static final double SLOW_TIMES = 4;     // slow: so many times its fellows' quantile
@@ -213,7 +213,7 @@
     /** The latest report with own load since; as it fades, the guess takes over. */
     private double use(Gauge g, double size, double guess, double now) {
         double w = weight(g, now);
-        double fellows = (post.gateways() - 1) * (all.own - g.allThen) / sumSize; // exception: as ours, so theirs
+        double fellows = (post.gateways() - 1) * (all.own - g.allThen) / sumSize; // they change as we do
         double told = Math.max(g.own / size, g.told + (g.own - g.ownThen) / size + fellows);
         return w == 0 ? guess : w * told + (1 - w) * guess;
     }
--- /dev/null
+++ b/src/test/java/walnutfield/DirectorTest.java
@@ -0,0 +1,289 @@
+package walnutfield;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static walnutfield.Bench.FREE;
+import static walnutfield.Bench.PAID;
+import static walnutfield.Bench.SEATED;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import walnutfield.play.*;
+
+class DirectorTest {
+    /** A band, how its first leg ended, and what the play gets at once. */
+    @ParameterizedTest
+    @CsvSource({
+        "false, FAILED, set up", "false, TIMED_OUT, set up", "false, BROKEN_OFF, set up",
+        "false, CALLED_OFF, set up", "false, TURNED_AWAY, set up", "false, UNREACHABLE, set up",
+        "false, NOT_SENT, set up",
+        "true, FAILED, error", "true, TIMED_OUT, error", "true, BROKEN_OFF, error", "true, CALLED_OFF, error",
+        "true, TURNED_AWAY, set up", "true, UNREACHABLE, set up", "true, NOT_SENT, set up"})
+    void whatFollowsALeg(boolean paid, Outcome how, String then) {
+        Bench b = Bench.plain();
+        PlayId p = b.want(paid ? PAID : FREE, 4000);
+        int first = b.sentTo(p);
+        b.out.clear();
+        b.end(p, 0, first, how, false);
+        assertEquals(1, b.count(then + " " + p.value()), b.out.toString());
+        assertEquals(1, b.out.stream().filter(s -> !s.startsWith("log") && !s.startsWith("rung")).count());
+        assertNotEquals(first, b.sentTo(p));
+    }
+
+    /** By hand: each link has 4000 kB and the middle rate is sqrt(100 x 900) = 300 kB. */
+    @ParameterizedTest
+    @CsvSource({"0.5, 0.4, 0.6, 1", "0.2, 0.4, 0.6, 0", "0.9, 0.9, 0.3, 2", "0.41, 0.40, 0.42, 1"})
+    void mostSpareRateWins(double a, double c, double e, int expected) {
+        Bench b = Bench.plain();
+        b.links(a, c, e);
+        assertEquals(expected, b.sentTo(b.want(FREE, 4000)));
+    }
+
+    @Test
+    void fewerStreamsDecideBetweenEqualLinks() { // 13.3 spare each; 1/50 % against 1/2.5 % against 1/25 %
+        Bench b = Bench.plain();
+        double[] streams = {20, 1, 10};
+        for (int i = 0; i < 3; i++) {
+            b.director.loadTold(b.now, Bench.host(i), new Load(0.1, 0.1, streams[i]));
+        }
+        assertEquals(1, b.sentTo(b.want(FREE, 4000)));
+    }
+
+    @Test
+    void aNarrowUplinkCountsBeforeAWideLink() { // racks: cells 0, 2, 4 and 1, 3, 5
+        Bench b = Bench.plain();
+        b.links(0.1, 0.3, 0.1);
+        b.director.loadTold(b.now, Bench.host(0), new Load(Double.NaN, 0.95, Double.NaN));
+        assertEquals(1, b.sentTo(b.want(FREE, 4000)));
+    }
+
+    @Test
+    void unheardHostsCountAsAverage() { // heard: 0.8 and 0.1, so unheard about 0.3 with no own plays
+        Bench b = Bench.plain();
+        b.links(0.8);
+        assertNotEquals(0, b.sentTo(b.want(FREE, 4000)));
+        Bench c = Bench.plain();
+        c.links(0.05);
+        for (int i = 3; i < 6; i++) {
+            c.director.loadTold(c.now, Bench.host(i), new Load(0.9, Double.NaN, Double.NaN));
+        }
+        assertEquals(0, c.sentTo(c.want(FREE, 4000)));
+    }
+
+    @Test
+    void ownSendsSinceAReportCountAtOnce() {
+        Bench b = Bench.plain();
+        b.links(0.1, 0.2, 0.9);
+        assertEquals(0, b.sentTo(b.want(FREE, 4000))); // 900 of 4000 kB more: 0.325
+        assertEquals(1, b.sentTo(b.want(FREE, 4000)));
+    }
+
+    /** Use of the only holder's link, and the rung that a new play gets: mark 0.70, steps of 0.12. */
+    @ParameterizedTest
+    @CsvSource({"0.40, 3", "0.50, 2", "0.70, 2", "0.74, 1", "0.88, 1", "0.92, 0", "1.20, 0"})
+    void rungBySteps(double use, int rung) {
+        Bench b = Bench.plain();
+        b.links(use);
+        PlayId p = b.want(FREE, 0, 1, 4000);
+        assertEquals(rung > 0 ? 1 : 0, b.count("rung " + p.value() + " " + rung), b.out.toString());
+        assertEquals(rung > 0 ? 1 : 0, b.count("rung"));
+    }
+
+    @Test
+    void steppedDownUnderPressureOnceInTenSecondsAndNeverBelowTheFloor() {
+        Bench b = Bench.plain();
+        PlayId low = b.underWay(SEATED, 0, 2);
+        for (int i = 0; i < 24; i++) {
+            b.pass(500);
+            b.links(2.0);
+        }
+        assertTrue(b.count("rung " + low.value()) >= 1);
+        assertEquals(0, b.count("rung " + low.value() + " 0"));
+        Bench c = Bench.plain();
+        PlayId p = c.underWay(FREE, 0, 3);
+        c.pass(200);
+        c.links(1.10);
+        c.pass(200);
+        assertEquals(1, c.count("rung " + p.value()));
+        c.pass(9_000);
+        c.links(1.5);
+        c.pass(500);
+        assertEquals(1, c.count("rung " + p.value()), "changed again within 10 s");
+        c.pass(1_000);
+        c.links(1.5);
+        c.pass(500);
+        assertEquals(2, c.count("rung " + p.value()));
+    }
+
+    @Test
+    void aPlayIsSteppedUpWhereThereIsRoom() {
+        Bench b = Bench.plain();
+        PlayId p = b.underWay(FREE, 0, 0);
+        b.links(0.1);
+        b.pass(3_000);
+        assertEquals(1, b.count("rung " + p.value() + " 1"));
+    }
+
+    @Test
+    void seatsAreKeptFromTheStartAndFreedByTheEnd() {
+        Bench b = Bench.plain();
+        PlayId first = b.underWay(SEATED, 0, 1);
+        PlayId second = b.want(SEATED, 4000);
+        assertNotEquals(-1, b.sentTo(second));
+        PlayId third = b.want(SEATED, 4000);
+        assertEquals(1, b.count("shed " + third.value()));
+        b.end(first, 0, 0, Outcome.SERVED, true);
+        assertNotEquals(-1, b.sentTo(b.want(SEATED, 4000)));
+    }
+
+    @Test
+    void nothingNewToADrainingHostNotEvenAFurtherLegOrAHeldPlay() {
+        Bench b = Bench.plain();
+        PlayId p = b.want(FREE, 0, 2, 4000);
+        int first = b.sentTo(p);
+        b.director.listChanged(b.now, List.of(Bench.line(1 - first, HostLine.Standing.DRAINING, 0)));
+        b.end(p, 0, first, Outcome.FAILED, false);
+        b.pass(4_000);
+        assertEquals(1, b.count("set up"));
+        assertEquals(1, b.count("shed " + p.value()));
+        b.director.listWhole(b.now, List.of()); // off a whole list is gone
+        PlayId q = b.want(FREE, 4000);
+        b.pass(4_000);
+        assertEquals(-1, b.sentTo(q));
+        assertEquals(1, b.count("shed " + q.value()));
+    }
+
+    @Test
+    void coldHostIsSentNoMoreThanOurPartInAnyWindow() { // 40 slots / 12 s x 0.5 x 3 x 2 s / 3 gateways = 6.7
+        Bench b = new Bench(3, new LegTerms(4, 0, -1, 0), 12_000, false);
+        b.director.listRemembered(b.now, b.fleet(0));
+        b.pass(20_000);
+        b.director.listChanged(b.now, List.of(Bench.line(0, HostLine.Standing.READY, b.now)));
+        double[] at = new double[400];
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            PlayId p = b.want(FREE, 0, 1, 300);
+            b.pass(20);
+            if (b.sentTo(p) == 0) {
+                at[sent++] = b.now;
+                b.start(p, 0, 0, 10);
+            }
+        }
+        assertTrue(sent > 0 && sent <= 6, "sent in 2 s: " + sent);
+    }
+
+    @Test
+    void furtherLegsKeepToTheRation() { // 1 spare + 0.5 of 2 plays taken = 2
+        Bench b = new Bench(1, new LegTerms(6, 1, 0.5, 10_000), 0, false);
+        b.director.listRemembered(b.now, b.fleet(0));
+        PlayId p = b.want(FREE, 0, 6, 4000);
+        b.want(FREE, 0, 6, 4000);
+        for (int leg = 0; leg < 3; leg++) {
+            b.end(p, leg, b.sentTo(p), Outcome.UNREACHABLE, false);
+        }
+        assertEquals(3, b.count("set up " + p.value() + " "));
+        assertEquals(1, b.count("shed " + p.value()));
+        b.pass(10_100); // the span is over
+        PlayId q = b.want(FREE, 0, 6, 4000);
+        b.end(q, 0, b.sentTo(q), Outcome.FAILED, false);
+        assertEquals(2, b.count("set up " + q.value() + " "));
+    }
+
+    /** What a play has left, and when its leg must give up: the play's own hard stop, not its band's. */
+    @ParameterizedTest
+    @CsvSource({"true, 4000, 3970", "true, 700, 670", "false, 4000, 500", "false, 260, 230"})
+    void patience(boolean paid, double left, long patience) {
+        Bench b = Bench.plain();
+        b.want(paid ? PAID : FREE, left);
+        assertEquals(1, b.out.stream().filter(s -> s.contains(" " + patience + " h")).count(), b.out.toString());
+    }
+
+    @Test
+    void everyPlayIsAnsweredBeforeItsHardStop() {
+        Bench b = Bench.plain();
+        b.director.listWhole(b.now, List.of());
+        PlayId p = b.want(PAID, 900);
+        b.pass(900);
+        assertEquals(1, b.count("shed " + p.value()));
+        PlayId q = b.want(PAID, 10);
+        assertEquals(1, b.count("shed " + q.value()), "no time to hold it");
+    }
+
+    @Test
+    void aHostThatFailsFastIsPassedOverThoughItLooksIdle() {
+        Bench b = Bench.plain();
+        b.links(0.0, 0.5, 0.5);
+        PlayId p = b.want(FREE, 4000);
+        b.end(p, 0, 0, Outcome.FAILED, false);
+        assertNotEquals(0, b.sentTo(p));
+        for (int i = 0; i < 5; i++) {
+            assertNotEquals(0, b.sentTo(b.want(PAID, 4000)));
+        }
+        b.pass(2_100); // tried again, with one play that may be repeated, at a time
+        assertNotEquals(0, b.sentTo(b.want(PAID, 4000)));
+        assertEquals(0, b.sentTo(b.want(FREE, 4000)));
+        assertNotEquals(0, b.sentTo(b.want(FREE, 4000)));
+    }
+
+    @Test
+    void aSilentHostIsTakenUpAgainAsCold() {
+        Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 60_000, false);
+        b.director.listRemembered(b.now, b.fleet(0));
+        b.pass(61_000);
+        b.links(0.0, 0.8, 0.8);
+        PlayId p = b.want(FREE, 4000);
+        b.end(p, 0, 0, Outcome.TIMED_OUT, false);
+        b.pass(2_100);
+        PlayId trial = b.want(FREE, 0, 1, 4000);
+        assertEquals(0, b.sentTo(trial));
+        b.start(trial, 0, 0, 10);
+        PlayId next = b.want(FREE, 0, 1, 4000);
+        assertEquals(-1, b.sentTo(next), "sent at once to a host that may just have started");
+    }
+
+    @Test
+    void aSlowHostIsJudgedByItsFellows() {
+        Bench b = Bench.plain();
+        for (int round = 0; round < 3; round++) {
+            for (int i = 0; i < 4; i++) {
+                PlayId p = b.want(FREE, i, 1, 4000);
+                b.start(p, 0, i, i == 0 ? 900 : 80);
+            }
+        }
+        b.pass(200);
+        assertEquals(1, b.count("log host h0 suspect: slow"));
+        assertEquals(1, b.count("log host"), "fellows are judged too");
+    }
+
+    @Test
+    void movesOnlyOffAShortLinkAtTheRecheckAndOnceInThirtySeconds() {
+        Bench b = Bench.plain();
+        PlayId p = b.underWay(FREE, 0, 3);
+        b.director.playing(b.now, new Wanted(new PlayId(99), new ViewerId(99), Bench.TITLE, null, PAID, 0, 3, 3,
+            true, 0, 4000), Bench.host(0)); // back from a move just now
+        b.director.playing(b.now, new Wanted(new PlayId(98), new ViewerId(98), Bench.TITLE, null, PAID, 0, 3, 3,
+            false, 0, 4000), Bench.host(0));
+        b.pass(9_000);
+        b.director.shareTold(b.now, Bench.host(0), 0.6);
+        assertEquals(0, b.count("move"), "between re-checks");
+        b.pass(1_500);
+        assertEquals(1, b.count("move"));
+        assertEquals(1, b.count("move 98"), "the play of a single holder has nowhere to go");
+        assertEquals(0, b.count("move " + p.value()));
+    }
+
+    @Test
+    void probesArePacedByThePlaysTaken() {
+        Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 0, true);
+        b.director.listRemembered(b.now, b.fleet(0));
+        b.pass(5_000);
+        assertEquals(0, b.count("probe"));
+        b.want(FREE, 4000);
+        b.want(FREE, 4000);
+        b.pass(5_000);
+        assertEquals(2, b.count("probe"));
+    }
+}
