--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -25,7 +25,8 @@
     private static final double STEP = 0.12;        // and one rung less for each such step above
     private static final double HIGH = 1.08;        // use from which playing plays are stepped down
     private static final double CUT_TO = 0.95;      // and to which
-    private static final double RAISE_TO = 0.70;    // playing plays are stepped up while use stays under this
+    private static final double RAISE_UNDER = 0.03; // plays are stepped up to so much under their mark
+    private static final double RAISE_MOST = 0.92;  // and never where use would pass this
     private static final double RAISE_MS = 2_000;   // a host's plays are stepped up so often at most
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
@@ -541,11 +542,9 @@
             double size = size(p.host, now);
             double use = linkUse(p.host, now);
             double uplink = uplinkUse(p.host.rack, now);
-            for (int steps = 0; rung > p.wish.band().floor(); rung--, steps++) {
-                double then = Math.max(use + rate(p, rung) / size, uplink + rate(p, rung) / rackKb);
-                if (then <= MARK + STEP * steps) {
-                    break;
-                }
+            while (rung > p.wish.band().floor()
+                && Math.max(use + rate(p, rung) / size, uplink + rate(p, rung) / rackKb) > mark(p, rung)) {
+                rung--;
             }
             p.rung = rung;
             return Verdict.PASS;
@@ -744,17 +743,27 @@
         if (now - h.raisedAt < RAISE_MS || h.mine == 0 || h.suspect) {
             return;
         }
-        double room = Math.min(size(h, now) * (RAISE_TO - linkUse(h, now)),
-            rackKb * (RAISE_TO - uplinkUse(h.rack, now)));
-        double most = room / post.gateways();
+        h.raisedAt = now;
+        double size = size(h, now), use = linkUse(h, now), uplink = uplinkUse(h.rack, now);
+        double[] ours = {0};
         plays.values().stream().filter(p -> p.host == h && p.plays && p.rung < top(p) && !p.beyondShare
-                && now - p.rungAt >= RUNG_GAP_MS && rate(p, p.rung + 1) - rate(p, p.rung) <= most)
-            .max(Comparator.comparing(p -> earnsAKb(p, p.rung + 1))).ifPresent(p -> {
-                h.raisedAt = now;
-                change(p, p.rung + 1, now);
+                && now - p.rungAt >= RUNG_GAP_MS)
+            .sorted(Comparator.comparing(p -> -earnsAKb(p, p.rung + 1))).forEach(p -> {
+                double kb = rate(p, p.rung + 1) - rate(p, p.rung);
+                double mark = Math.min(RAISE_MOST, mark(p, p.rung + 1) - RAISE_UNDER);
+                double then = (ours[0] + kb) * post.gateways(); // fellows see the same room
+                if (Math.max(use + then / size, uplink + then / rackKb) <= mark) {
+                    ours[0] += kb;
+                    change(p, p.rung + 1, now);
+                }
             });
     }
 
+    /** Use up to which a play may have a rung: the mark, and a step more for each rung below its top. */
+    private double mark(Play p, int rung) {
+        return MARK + STEP * (top(p) - rung);
+    }
+
     private void change(Play p, int rung, double now) {
         if (rung != p.rung) {
             weigh(p, rate(p, rung) - rate(p, p.rung), now);
