--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -31,7 +31,7 @@
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
     private static final double FULL_SHARE = 0.98;  // a delivered share above this is no shortage
-    private static final double PROBE_PRICE = 0.01; // one probe a play at this price, two where cheap
+    private static final double PROBE_PRICE = 0.004; // one probe a play at this price, two where cheap
     private static final double PROBE_STALE_MS = 1_500; // no host is probed whose figure is younger
     private static final double QUANTILE = 0.9;     // house way: this quantile of answer times judges a host
     private static final double SLOW_TIMES = 4;     // slow: so many times its fellows' quantile
@@ -510,9 +510,8 @@
     }
 
     private boolean holds(Host h, Play p) {
-        int cells = Math.max(1, links.cells());
         return links.cells() <= 0 || p.wish.holders() <= 0
-            || Math.floorMod(h.line.cell() - p.wish.firstCell(), cells) < p.wish.holders();
+            || Math.floorMod(h.line.cell() - p.wish.firstCell(), links.cells()) < p.wish.holders();
     }
 
     /** The design's score: spare rate, in plays at the middle rate, plus 1 over the percentage of streams. */
@@ -568,7 +567,8 @@
             out.setUp(p.wish.play(), p.host.id, patience(p, now));
             p.legs++;
             p.legOut = true;
-            p.sentAt = p.rungAt = now;
+            p.sentAt = now;
+            p.rungAt = Double.NEGATIVE_INFINITY; // a set-up is no change: the first may come at once
             p.host.lastSent = now;
             load(p, now);
             return Verdict.KEEP;
--- a/src/test/java/walnutfield/DirectorTest.java
+++ b/src/test/java/walnutfield/DirectorTest.java
@@ -118,6 +118,17 @@
         assertEquals(2, c.count("rung " + p.value()));
     }
 
+    @Test
+    void aNewPlayMayBeSteppedDownAtOnce() {
+        Bench b = Bench.plain();
+        PlayId p = b.want(FREE, 0, 1, 4000);
+        b.start(p, 0, 0, 10);
+        b.pass(500);
+        b.links(1.5);
+        b.pass(200);
+        assertTrue(b.count("rung " + p.value()) == 2, b.out.toString());
+    }
+
     @Test
     void aPlayIsSteppedUpWhereThereIsRoom() {
         Bench b = Bench.plain();
