--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -41,7 +41,8 @@
     private static final int GOOD_TO_CLEAR = 2;     // answers in a row that clear a suspect
     private static final double JUDGED_MOST = 0.4;  // beyond this part of the fleet slowness judges none
     private static final double COLD_MARGIN = 0.6;  // part of the pace that fells a cold host that we may use
-    private static final double HOLD_SHARE = 0.6;   // a play is held for this part of its expected time
+    private static final double UNPROVEN_PARTS = 1.2; // we share an unproven host with so many new gateways
+    private static final double HOLD_SHARE = 0.85;   // a play is held for this part of its expected time
     private static final double HOLD_OFF_MS = 1_000; // a viewer who is shed is told to come back after this
     private static final double EDGE_MS = 30;       // a last leg's time-out falls so long before the stop
     private static final double SPAN_EDGE_MS = 50;  // the span of the legs' ration is taken longer by this
@@ -226,9 +227,8 @@
     /** Unheard hosts count as average, with more or less by what this gateway itself has there. */
     private double guess(Host h, double now) {
         average(now);
-        double size = size(h, now);
-        double mean = all.own / sumSize;
-        return Math.max(h.link.own / size, averageUse + h.link.own / size - mean);
+        double own = h.link.own / size(h, now);
+        return Math.max(own, averageUse + own - all.own / sumSize);
     }
 
     private void average(double now) {
@@ -468,9 +468,8 @@
                 held.remove(p.wish.play());
                 return Verdict.PASS;
             }
-            double patient = HOLD_SHARE * p.wish.band().expectedMs();
-            double until = Math.min(p.takenAt + patient, p.hardStop - 2 * LOOK_MS);
-            if (now >= until || p.legs >= legs.most()) {
+            double until = p.takenAt + HOLD_SHARE * p.wish.band().expectedMs();
+            if (now >= Math.min(until, p.hardStop - 2 * LOOK_MS) || p.legs >= legs.most()) {
                 return Verdict.END;
             }
             held.put(p.wish.play(), p);
@@ -528,9 +527,10 @@
             return Double.NEGATIVE_INFINITY;
         }
         double pace = h.line.slots() / cold.warmMs() * warmth(since, now); // set-ups a ms
-        double gap = post.gateways() / (pace * cold.multiple() * COLD_MARGIN);
-        double turn = since + gap * (post.me() + 0.5) / post.gateways(); // fellows begin in turn
-        return Math.max(turn, h.lastSent + gap);
+        double parts = h.coldSince >= since ? post.gateways() : Math.min(post.gateways(), UNPROVEN_PARTS);
+        double gap = parts / (pace * cold.multiple() * COLD_MARGIN);
+        double turn = gap * (post.me() + 0.5) / post.gateways(); // fellows begin in turn
+        return Math.max(since + turn, h.lastSent + gap);
     }
 
     /** Quality: the top rung while the chosen host shows room, one lower per step of use above the mark. */
--- a/src/test/java/walnutfield/DirectorTest.java
+++ b/src/test/java/walnutfield/DirectorTest.java
@@ -186,6 +186,19 @@
         assertTrue(sent > 0 && sent <= 6, "sent in 2 s: " + sent);
     }
 
+    @Test
+    void anUnprovenHostIsSentASafePaceThoughNotAFellowsPart() { // after our own start; at half warmth 2.5 in 2 s
+        Bench b = new Bench(4, new LegTerms(4, 0, -1, 0), 24_000, false);
+        b.director.listRemembered(b.now, b.fleet(0));
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            PlayId p = b.want(FREE, 0, 1, 300);
+            b.pass(20);
+            sent += b.sentTo(p) == 0 ? 1 : 0;
+        }
+        assertTrue(sent >= 2 && sent <= 3, "sent in 2 s: " + sent);
+    }
+
     @Test
     void furtherLegsKeepToTheRation() { // 1 spare + 0.5 of 2 plays taken = 2
         Bench b = new Bench(1, new LegTerms(6, 1, 0.5, 10_000), 0, false);
