--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -73,7 +73,7 @@
     private final Chance chance;
     private final Gauge all = new Gauge(); // own load everywhere
     private double kbAUnit, sumSize = 1; // told links
-    private double averageUse, averageAt = Double.NEGATIVE_INFINITY;
+    private double averageUse, averageOwn, averageAt = Double.NEGATIVE_INFINITY;
     private double fellows = Double.NaN; // the fellows' usual quantile of answer times
     private double nextRecheck, probeTokens, askAgainAt = Double.POSITIVE_INFINITY;
     private double life = LIFE_MS, credit = 1; // usual length and credit of a play
@@ -130,14 +130,9 @@
 
     public void listChanged(double now, List<HostLine> lines) {
         lines.forEach(l -> take(l, now));
-        sumSize = 0;
         Map<Integer, Double> cells = new TreeMap<>();
-        for (Host h : hosts.values()) {
-            if (h.ready()) {
-                sumSize += units(h.line);
-                cells.put(h.line.cell(), units(h.line));
-            }
-        }
+        hosts.values().stream().filter(Host::ready).forEach(h -> cells.put(h.line.cell(), units(h.line)));
+        sumSize = hosts.values().stream().filter(Host::ready).mapToDouble(h -> units(h.line)).sum();
         if (kbAUnit == 0 && !cells.isEmpty()) { // told as of the start, when each cell has one host
             double all = cells.values().stream().mapToDouble(d -> d).sum();
             kbAUnit = links.allKb() > 0 ? links.allKb() / all : Math.max(links.unitKb(), middleKb);
@@ -228,7 +223,8 @@
     private double guess(Host h, double now) {
         average(now);
         double own = h.link.own / size(h, now);
-        return Math.max(own, averageUse + own - all.own / sumSize);
+        double since = post.gateways() * (all.own - averageOwn); // a crowd within one look counts too
+        return Math.max(own, averageUse + own + (since - all.own) / sumSize);
     }
 
     private void average(double now) {
@@ -245,6 +241,7 @@
             }
         }
         averageUse = sum / weight;
+        averageOwn = all.own;
     }
 
     /** A rack's uplink, guessed from its hosts' links; where none is told it is never the narrower one. */
--- a/src/test/java/walnutfield/DirectorTest.java
+++ b/src/test/java/walnutfield/DirectorTest.java
@@ -73,6 +73,18 @@
         assertEquals(0, c.sentTo(c.want(FREE, 4000)));
     }
 
+    @Test
+    void aCrowdInOneInstantIsReckonedForTheFellowsToo() { // the sixth: its uplink 0.75 - 0.19 + 0.15 + 0.075 of use
+        Bench b = new Bench(4, new LegTerms(4, 0, -1, 0), 0, false);
+        b.director.listRemembered(b.now, b.fleet(0));
+        PlayId last = null;
+        for (int i = 0; i < 6; i++) {
+            last = b.want(FREE, 0, 6, 4000);
+        }
+        assertEquals(5, b.out.stream().filter(s -> s.startsWith("rung") && s.endsWith(" 3")).count());
+        assertEquals(1, b.count("rung " + last.value() + " 2"), b.out.toString());
+    }
+
     @Test
     void ownSendsSinceAReportCountAtOnce() {
         Bench b = Bench.plain();
