--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -27,7 +27,7 @@
     private static final double CUT_TO = 0.95;      // and to which
     private static final double RAISE_UNDER = 0.03; // plays are stepped up to so much under their mark
     private static final double RAISE_MOST = 0.92;  // and never where use would pass this
-    private static final double RAISE_MS = 2_000;   // a host's plays are stepped up so often at most
+    private static final double RAISE_MS = 4_000;   // a host's plays are stepped up so often at most
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
     private static final double FULL_SHARE = 0.98;  // a delivered share above this is no shortage
