Tests for what small mutations of the module showed unguarded

Passing over a host that turns legs away, fellows' change since a report, a rack's uplink by shares, shares of customers, asking for the list, unanswered probes.

--- a/src/test/java/walnutfield/Bench.java
+++ b/src/test/java/walnutfield/Bench.java
@@ -18,13 +18,15 @@
     private double wakeAt = Double.POSITIVE_INFINITY;
     private long next = 1;
 
-    /** Six hosts of 40 slots and 4000 kB each, in two racks; every title on cells 0 to 2 unless said. */
+    static final CustomerId CUSTOMER = new CustomerId("c");
+
+    /** Six hosts of 40 slots and 4000 kB each, in two racks; with probes, the list must be asked for too. */
     Bench(int gateways, LegTerms legs, double coldMs, boolean probes) {
         director = new Director(new Post(5, 0, gateways, new PlaceId("p")),
             new Ladder(List.of(100.0, 200.0, 400.0, 900.0), List.of(0.25, 0.5, 0.8, 1.0), 8, 0.5),
             new LinkTerms(24_000, 0, 12_000, 2, 6, false, 0), legs, new ColdTerms(0.5, coldMs, 3, 2000),
-            new ShedTerms(2000, 40), new ReportTerms(probes, 0.01, 0, false), new MoveTerms(0.05, 0),
-            List.of(), this);
+            new ShedTerms(2000, 40), new ReportTerms(probes, 0.01, 0, probes), new MoveTerms(0.05, 0),
+            List.of(new Share(CUSTOMER, 0.2, 0.1)), this);
     }
 
     static Bench plain() {
@@ -59,6 +61,13 @@
         return id;
     }
 
+    /** A play of a customer whose share is 2 plays in 10 s. */
+    PlayId wantShared() {
+        PlayId id = new PlayId(next++);
+        director.wanted(now, new Wanted(id, new ViewerId(id.value()), TITLE, CUSTOMER, FREE, 0, 3, 3, false, 0, 4000));
+        return id;
+    }
+
     /** Plays that are under way at the start. */
     PlayId underWay(Band band, int on, int rung) {
         PlayId id = new PlayId(next++);
--- a/src/test/java/walnutfield/DirectorTest.java
+++ b/src/test/java/walnutfield/DirectorTest.java
@@ -264,6 +264,27 @@
         assertNotEquals(0, b.sentTo(b.want(FREE, 4000)));
     }
 
+    @Test
+    void aHostThatTurnsALegAwayIsPassedOverForASecond() {
+        Bench b = Bench.plain();
+        b.links(0.0, 0.6, 0.6);
+        b.end(b.want(FREE, 4000), 0, 0, Outcome.TURNED_AWAY, false);
+        b.pass(900);
+        assertNotEquals(0, b.sentTo(b.want(PAID, 4000)));
+        b.pass(200);
+        assertEquals(0, b.sentTo(b.want(PAID, 4000)), "it is full, not suspect");
+    }
+
+    @Test
+    void newerFiguresBeatOlderOnesByTheTimeTheySpeakOf() {
+        Bench b = Bench.plain();
+        b.links(0.9, 0.5, 0.5);
+        b.director.ended(b.now, b.want(FREE, 0, 1, 4000), 0, Bench.host(0), Outcome.TURNED_AWAY, false, 10,
+            new Load(0.0, Double.NaN, Double.NaN)); // an answer's report is older than a figure told now
+        b.pass(1_100);
+        assertNotEquals(0, b.sentTo(b.want(FREE, 4000)));
+    }
+
     @Test
     void aSilentHostIsTakenUpAgainAsCold() {
         Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 60_000, false);
@@ -323,4 +344,59 @@
         b.pass(5_000);
         assertEquals(2, b.count("probe"));
     }
+
+    @Test
+    void whatChangesForUsSinceAReportChangesForFellowsToo() { // 0.50 told; 2 x 900 of 24000 kB more by 3 fellows: 0.725
+        Bench b = new Bench(4, new LegTerms(4, 0, -1, 0), 0, false);
+        b.director.listRemembered(b.now, b.fleet(0));
+        b.links(0.5, 0.0, 0.0, 0.0, 0.0, 0.0);
+        b.pass(50);
+        b.want(FREE, 1, 1, 4000);
+        b.want(FREE, 3, 1, 4000);
+        PlayId p = b.want(FREE, 0, 1, 4000);
+        assertEquals(1, b.count("rung " + p.value() + " 1"), b.out.toString());
+    }
+
+    @Test
+    void hostsOfARackShortTogetherSpeakForTheUplink() { // so the third host of that rack is no way out
+        Bench b = Bench.plain();
+        b.underWay(FREE, 0, 1);
+        b.underWay(FREE, 2, 1);
+        b.links(0.96, 0.9, 0.96, 0.9, 0.1, 0.9);
+        b.pass(50);
+        b.director.shareTold(b.now, Bench.host(0), 0.8);
+        b.director.shareTold(b.now, Bench.host(2), 0.8);
+        assertEquals(3, b.sentTo(b.want(FREE, 3, 2, 4000)));
+    }
+
+    @Test
+    void playsBeyondACustomersShareAreSetUpAtTheFloor() {
+        Bench b = Bench.plain();
+        b.wantShared();
+        b.wantShared();
+        assertEquals(2, b.count("rung"));
+        PlayId third = b.wantShared();
+        assertEquals(0, b.count("rung " + third.value()));
+        assertNotEquals(-1, b.sentTo(third));
+    }
+
+    @Test
+    void theListIsAskedForAndAskedForAgainWhenItIsLost() {
+        Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 0, true);
+        b.director.listRemembered(b.now, b.fleet(0));
+        b.pass(300);
+        assertEquals(1, b.count("follow"));
+        b.director.listLost(b.now);
+        b.pass(2_200);
+        assertEquals(2, b.count("follow"));
+    }
+
+    @Test
+    void aProbeThatIsNotAnsweredMakesAHostSuspect() {
+        Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 0, true);
+        b.director.listRemembered(b.now, b.fleet(0));
+        b.links(0.0, 0.5, 0.5);
+        b.director.probed(b.now, Bench.host(0), Outcome.TIMED_OUT, 250, Load.NONE);
+        assertNotEquals(0, b.sentTo(b.want(PAID, 4000)));
+    }
 }
