--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -620,7 +620,8 @@
         }
     }
 
-    /** Guards against hosts that fail fast (they look idle), stand still, are silent, lost or slow. */
+    /** Guards against hosts that fail fast (they look idle), stand still, are silent, lost or slow, whatever
+     *  the cause; it harms where one chance failure takes a holder of a wanted title out for a while. */
     private void doubt(Host h, boolean silent, String why, double now) {
         if (!h.suspect) {
             out.log("host " + h.id.value() + " suspect: " + why + ", out for " + h.outFor + " ms");
