--- a/src/main/java/walnutfield/bench/Fields.java
+++ b/src/main/java/walnutfield/bench/Fields.java
@@ -20,8 +20,7 @@
         if (row == null || !row.isArray()) {
             throw new MalformedLine("an entry is not an array");
         }
-        Fields f = new Fields(row, 0);
-        return f;
+        return new Fields(row, 0);
     }
 
     private Fields(JsonNode line, int next) {
--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -30,10 +30,16 @@
     private static final double RAISE_MS = 4_000;   // a host's plays are stepped up so often at most
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
+    private static final double SURE = 0.5, ROOMY = 0.95; // a link report of this weight and use denies it
+    private static final double USE_MOST = 3;       // no share is taken for more use than this
     private static final double FULL_SHARE = 0.98;  // a delivered share above this is no shortage
     private static final double PROBE_PRICE = 0.004; // one probe a play at this price, two where cheap
+    private static final double PROBES_MOST = 2, PROBES_SAVED = 4; // a play earns, a gateway saves so many
+    private static final double PROBE_OLD_MS = 60_000; // older figures are all alike
+    private static final double PROBE_AGAIN_MS = 500; // a suspect is not probed sooner than this again
     private static final double PROBE_STALE_MS = 1_500; // no host is probed whose figure is younger
     private static final double QUANTILE = 0.9;     // house way: this quantile of answer times judges a host
+    private static final int FELLOWS_LEAST = 3;     // no host is judged among fewer
     private static final double SLOW_TIMES = 4;     // slow: so many times its fellows' quantile
     private static final double SLOW_LEAST_MS = 250; // and no less than this
     private static final double SUSPECT_MS = 2_000; // first time out of favour; doubles up to the next
@@ -49,6 +55,7 @@
     private static final double SHARE_BURST_MS = 10_000; // a customer may be ahead of its share by so much
     private static final double AWAY_MS = 1_000;    // a host that turns a leg away is passed over for so long
     private static final double LAST_RESORT = 1e6;  // taken off a suspect's score before its time
+    private static final double CREDIT_LEARN = 0.02, LIFE_LEARN = 0.05; // one play in the usual
     private static final double LIFE_MS = 30_000;   // a play's length, until some have been seen to end
 
     private final Post post;
@@ -299,11 +306,11 @@
             shortOnes += isShort ? 1 : 0;
             sum += isShort ? f.share : 0;
         }
-        boolean denied = weight(h.link, now) > 0.5 && h.link.told < 0.95; // its link report says not it
+        boolean denied = weight(h.link, now) > SURE && h.link.told < ROOMY; // its link report says not it
         if (denied || shortOnes >= 2 && shortOnes * 2 >= mine) {
-            tell(h.rack.uplink, Math.min(3, shortOnes / Math.max(0.1, sum)), of);
+            tell(h.rack.uplink, Math.min(USE_MOST, shortOnes / sum), of);
         } else {
-            tell(h.link, Math.min(3, 1 / Math.max(0.1, share)), of);
+            tell(h.link, Math.min(USE_MOST, 1 / share), of);
         }
     }
 
@@ -313,8 +320,9 @@
         Play p = new Play(wish, now);
         plays.put(wish.play(), p);
         takes.add(now);
-        credit += 0.02 * (wish.band().credit() - credit);
-        probeTokens = Math.min(4, probeTokens + Math.min(2, PROBE_PRICE / reports.probePrice()));
+        credit += CREDIT_LEARN * (wish.band().credit() - credit);
+        probeTokens = Math.min(PROBES_SAVED,
+            probeTokens + Math.min(PROBES_MOST, PROBE_PRICE / reports.probePrice()));
         run(p, now);
     }
 
@@ -389,7 +397,7 @@
         if (over || p.answered) {
             plays.remove(id);
             if (p.plays && how == Outcome.SERVED) {
-                life += 0.05 * (now - p.takenAt - life);
+                life += LIFE_LEARN * (now - p.takenAt - life);
             }
         } else if (p.wish.band().paid() && p.mayHaveRun) {
             giveUp(p, now);
@@ -435,12 +443,12 @@
             Math.min(Math.min(p.wish.bestRung(), p.wish.band().top()), ladder.kb().size() - 1));
     }
 
-    /** Terms: seats of title and band, and the customer's share, beyond which a play gives way first. */
+    /** Terms: most legs, seats of title and band, and the customer's share, beyond which a play gives way. */
     private final class Terms implements Stage {
         @Override
         public Verdict pass(Play p, double now) {
             int most = p.wish.band().seats();
-            if (most > 0 && seats.getOrDefault(seat(p), 0) >= most) {
+            if (p.legs >= legs.most() || most > 0 && seats.getOrDefault(seat(p), 0) >= most) {
                 return Verdict.END;
             }
             Tokens share = shares.get(p.wish.customer());
@@ -466,7 +474,7 @@
                 return Verdict.PASS;
             }
             double until = p.takenAt + HOLD_SHARE * p.wish.band().expectedMs();
-            if (now >= Math.min(until, p.hardStop - 2 * LOOK_MS) || p.legs >= legs.most()) {
+            if (now >= Math.min(until, p.hardStop - 2 * LOOK_MS)) {
                 return Verdict.END;
             }
             held.put(p.wish.play(), p);
@@ -551,7 +559,7 @@
     private final class Sending implements Stage {
         @Override
         public Verdict pass(Play p, double now) {
-            if (p.legs >= legs.most() || p.legs > 0 && !furtherAllowed(now) || now > p.hardStop - EDGE_MS) {
+            if (p.legs > 0 && !furtherAllowed(now) || now > p.hardStop - EDGE_MS) {
                 return Verdict.END;
             }
             if (p.legs > 0) {
@@ -675,31 +683,25 @@
 
     /** The house way: a host is judged by a high quantile of its answer times against its fellows'. */
     private void compare(double now) {
-        List<Double> all = new ArrayList<>();
-        int out = 0, listed = 0;
-        for (Host h : hosts.values()) {
-            listed += h.ready() ? 1 : 0;
-            out += h.ready() && h.suspect ? 1 : 0;
-            if (!Double.isNaN(h.quantile(QUANTILE))) {
-                all.add(h.quantile(QUANTILE));
-            }
-        }
-        if (all.size() < 3) {
+        Map<Host, Double> known = new LinkedHashMap<>();
+        hosts.values().forEach(h -> known.put(h, h.quantile(QUANTILE)));
+        double[] usual = known.values().stream().filter(q -> q > 0).mapToDouble(q -> q).sorted().toArray();
+        if (usual.length < FELLOWS_LEAST) {
             return;
         }
-        all.sort(Comparator.naturalOrder());
-        fellows = all.get(all.size() / 2);
+        fellows = usual[usual.length / 2];
         double slow = Math.max(SLOW_LEAST_MS, SLOW_TIMES * fellows);
+        long listed = hosts.values().stream().filter(Host::ready).count();
+        long doubted = hosts.values().stream().filter(h -> h.ready() && h.suspect).count();
         for (Host h : hosts.values()) {
-            double worst = 0;
+            double worst = known.get(h);
             for (Play p : plays.values()) { // a leg still out tells before it times out
                 worst = p.host == h && p.legOut && !p.plays ? Math.max(worst, now - p.sentAt) : worst;
             }
-            worst = Math.max(worst, Double.isNaN(h.quantile(QUANTILE)) ? 0 : h.quantile(QUANTILE));
-            if (!h.suspect && h.ready() && out < JUDGED_MOST * listed && worst > slow) {
+            if (!h.suspect && h.ready() && doubted < JUDGED_MOST * listed && worst > slow) {
                 doubt(h, false, "slow, " + worst + " ms against " + fellows, now);
                 h.forgetAnswers();
-                out++;
+                doubted++;
             }
         }
     }
@@ -808,9 +810,9 @@
         Host best = null;
         double most = PROBE_STALE_MS;
         for (Host h : hosts.values()) {
-            double stale = Math.min(60_000, now - Math.max(h.link.toldOf, h.probedAt)) + chance.next();
+            double stale = Math.min(PROBE_OLD_MS, now - Math.max(h.link.toldOf, h.probedAt)) + chance.next();
             if (h.suspect) {
-                stale = now >= h.retryAt && now - h.probedAt > LOOK_MS * 5 ? 100_000 : 0;
+                stale = now >= h.retryAt && now - h.probedAt > PROBE_AGAIN_MS ? Double.MAX_VALUE : 0;
             }
             if (h.ready() && !h.probeOut && stale > most) {
                 most = stale;
--- a/src/main/java/walnutfield/decide/Host.java
+++ b/src/main/java/walnutfield/decide/Host.java
@@ -49,11 +49,11 @@
         answers = 0;
     }
 
-    /** A quantile of the latest answer times; NaN while fewer than three are known. */
+    /** A quantile of the latest answer times; 0 while fewer than three are known. */
     double quantile(double q) {
         int n = Math.min(answers, took.length);
         if (n < 3) {
-            return Double.NaN;
+            return 0;
         }
         double[] sorted = Arrays.copyOf(took, n);
         Arrays.sort(sorted);
--- a/src/main/java/walnutfield/play/Ladder.java
+++ b/src/main/java/walnutfield/play/Ladder.java
@@ -8,6 +8,5 @@
  * @param kb     rate of each rung, kB a second
  * @param credit what each rung earns, as a part of a band's credit
  * @param stall  part of the credit lost for each part of the rate that is missing
- * @param changeS seconds of credit that a change costs while playing
  */
-public record Ladder(List<Double> kb, List<Double> credit, double stall, double changeS) { }
+public record Ladder(List<Double> kb, List<Double> credit, double stall) { }
--- a/src/main/java/walnutfield/play/LinkTerms.java
+++ b/src/main/java/walnutfield/play/LinkTerms.java
@@ -9,7 +9,6 @@
  * @param racks      number of racks
  * @param cells      number of cells
  * @param sizeListed whether the list's units tell a host's size
- * @param fullAt     use of its link from which a host turns set-ups away; 0 for never
  */
 public record LinkTerms(double allKb, double unitKb, double rackKb, int racks, int cells,
-                        boolean sizeListed, double fullAt) { }
+                        boolean sizeListed) { }
--- a/src/test/java/walnutfield/Bench.java
+++ b/src/test/java/walnutfield/Bench.java
@@ -23,16 +23,15 @@
     /** Six hosts of 40 slots and 4000 kB each, in two racks; with probes, the list must be asked for too. */
     Bench(int gateways, LegTerms legs, double coldMs, boolean probes) {
         director = new Director(new Post(5, 0, gateways, new PlaceId("p")),
-            new Ladder(List.of(100.0, 200.0, 400.0, 900.0), List.of(0.25, 0.5, 0.8, 1.0), 8, 0.5),
-            new LinkTerms(24_000, 0, 12_000, 2, 6, false, 0), legs, new ColdTerms(0.5, coldMs, 3, 2000),
-            new ShedTerms(2000, 40), new ReportTerms(probes, 0.01, 0, probes), new MoveTerms(0.05, 0),
+            new Ladder(List.of(100.0, 200.0, 400.0, 900.0), List.of(0.25, 0.5, 0.8, 1.0), 8),
+            new LinkTerms(24_000, 0, 12_000, 2, 6, false), legs, new ColdTerms(0.5, coldMs, 3, 2000),
+            new ShedTerms(2000), new ReportTerms(probes, 0.01, 0, probes), new MoveTerms(0.05),
             List.of(new Share(CUSTOMER, 0.2, 0.1)), this);
+        director.listRemembered(now, fleet(0));
     }
 
     static Bench plain() {
-        Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 0, false);
-        b.director.listRemembered(b.now, b.fleet(0));
-        return b;
+        return new Bench(1, new LegTerms(4, 0, -1, 0), 0, false);
     }
 
     List<HostLine> fleet(double launched) {
--- a/src/test/java/walnutfield/DirectorTest.java
+++ b/src/test/java/walnutfield/DirectorTest.java
@@ -76,7 +76,6 @@
     @Test
     void aCrowdInOneInstantIsReckonedForTheFellowsToo() { // the sixth: its uplink 0.75 - 0.19 + 0.15 + 0.075 of use
         Bench b = new Bench(4, new LegTerms(4, 0, -1, 0), 0, false);
-        b.director.listRemembered(b.now, b.fleet(0));
         PlayId last = null;
         for (int i = 0; i < 6; i++) {
             last = b.want(FREE, 0, 6, 4000);
@@ -182,7 +181,6 @@
     @Test
     void coldHostIsSentNoMoreThanOurPartInAnyWindow() { // 40 slots / 12 s x 0.5 x 3 x 2 s / 3 gateways = 6.7
         Bench b = new Bench(3, new LegTerms(4, 0, -1, 0), 12_000, false);
-        b.director.listRemembered(b.now, b.fleet(0));
         b.pass(20_000);
         b.director.listChanged(b.now, List.of(Bench.line(0, HostLine.Standing.READY, b.now)));
         double[] at = new double[400];
@@ -201,7 +199,6 @@
     @Test
     void anUnprovenHostIsSentASafePaceThoughNotAFellowsPart() { // after our own start; at half warmth 2.5 in 2 s
         Bench b = new Bench(4, new LegTerms(4, 0, -1, 0), 24_000, false);
-        b.director.listRemembered(b.now, b.fleet(0));
         int sent = 0;
         for (int i = 0; i < 100; i++) {
             PlayId p = b.want(FREE, 0, 1, 300);
@@ -214,7 +211,6 @@
     @Test
     void furtherLegsKeepToTheRation() { // 1 spare + 0.5 of 2 plays taken = 2
         Bench b = new Bench(1, new LegTerms(6, 1, 0.5, 10_000), 0, false);
-        b.director.listRemembered(b.now, b.fleet(0));
         PlayId p = b.want(FREE, 0, 6, 4000);
         b.want(FREE, 0, 6, 4000);
         for (int leg = 0; leg < 3; leg++) {
@@ -288,7 +284,6 @@
     @Test
     void aSilentHostIsTakenUpAgainAsCold() {
         Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 60_000, false);
-        b.director.listRemembered(b.now, b.fleet(0));
         b.pass(61_000);
         b.links(0.0, 0.8, 0.8);
         PlayId p = b.want(FREE, 4000);
@@ -335,7 +330,6 @@
     @Test
     void probesArePacedByThePlaysTaken() {
         Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 0, true);
-        b.director.listRemembered(b.now, b.fleet(0));
         b.pass(5_000);
         assertEquals(0, b.count("probe"));
         for (int i = 0; i < 6; i++) { // 0.4 for each play at this price: 2.4
@@ -348,7 +342,6 @@
     @Test
     void whatChangesForUsSinceAReportChangesForFellowsToo() { // 0.50 told; 2 x 900 of 24000 kB more by 3 fellows: 0.725
         Bench b = new Bench(4, new LegTerms(4, 0, -1, 0), 0, false);
-        b.director.listRemembered(b.now, b.fleet(0));
         b.links(0.5, 0.0, 0.0, 0.0, 0.0, 0.0);
         b.pass(50);
         b.want(FREE, 1, 1, 4000);
@@ -383,7 +376,6 @@
     @Test
     void theListIsAskedForAndAskedForAgainWhenItIsLost() {
         Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 0, true);
-        b.director.listRemembered(b.now, b.fleet(0));
         b.pass(300);
         assertEquals(1, b.count("follow"));
         b.director.listLost(b.now);
@@ -394,7 +386,6 @@
     @Test
     void aProbeThatIsNotAnsweredMakesAHostSuspect() {
         Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 0, true);
-        b.director.listRemembered(b.now, b.fleet(0));
         b.links(0.0, 0.5, 0.5);
         b.director.probed(b.now, Bench.host(0), Outcome.TIMED_OUT, 250, Load.NONE);
         assertNotEquals(0, b.sentTo(b.want(PAID, 4000)));
