Decisions for hundreds of gateways: probe first, parts by chance, trust own load by its size

Cause: a gateway among 200 has a few plays. Own load times the number of gateways, one play cut at least, a raise that all fellows must share, streams guessed as own plays times gateways (a host with one own play counted as full) and ties in one order made the fleet swing and herd. Now the best holder is probed first where that is allowed, parts of a play are taken by chance, figures little known are spread by chance, a gateway that stood still doubts no host for it.

--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -1,7 +1,8 @@
 package walnutfield.decide;
 
 import java.util.*;
-import java.util.function.Predicate;
+import java.util.function.DoubleSupplier;
+import java.util.stream.Stream;
 import walnutfield.decide.Stage.Verdict;
 import walnutfield.play.*;
 
@@ -18,41 +19,48 @@
     private static final double RECHECK_MS = 10_000; // design: moves are weighed so often
     private static final double MOVE_GAP_MS = 30_000; // design: a viewer is moved once in this time
     private static final double RUNG_GAP_MS = 10_000; // design: a playing play changes rung once in this time
-    private static final double MOVE_PACE = 0.1;    // part of own plays moved at one re-check, one at least
+    private static final double MOVE_PACE = 0.1;    // part of own plays moved at one re-check
     private static final double MOVE_WORTH = 1.5;   // a move must save so many times its price
-    private static final double MOVE_SEES_MS = 10_000; // a shortage is reckoned to last so much longer
     private static final double MARK = 0.70;        // use up to which a new play gets its top rung
     private static final double STEP = 0.12;        // and one rung less for each such step above
     private static final double HIGH = 1.08;        // use from which playing plays are stepped down
+    private static final double HIGH_TOLD = 1.03;   // the same where a delivered share, less noisy, told it
     private static final double CUT_TO = 0.95;      // and to which
     private static final double RAISE_UNDER = 0.03; // plays are stepped up to so much under their mark
     private static final double RAISE_MOST = 0.92;  // and never where use would pass this
     private static final double RAISE_MS = 4_000;   // a host's plays are stepped up so often at most
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
+    private static final double FORGET_FADES = 6;   // after so many of these it tells nothing of the average
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
     private static final double SURE = 0.5, ROOMY = 0.95; // a link report of this weight and use denies it
     private static final double USE_MOST = 3;       // no share is taken for more use than this
     private static final double FULL_SHARE = 0.98;  // a delivered share above this is no shortage
-    private static final double PROBE_PRICE = 0.004; // one probe a play at this price, two where cheap
+    private static final double FEW = 10;           // own plays that tell as much of the fleet as a guess
+    private static final double SPREAD = 0.3;       // use that an unheard host may have over the average
+    private static final double UNSURE = 0.15;      // and that a new play's rung allows for there
+    private static final double PROBE_PRICE = 0.02; // one probe a play at this price, more where cheap
     private static final double PROBES_MOST = 2, PROBES_SAVED = 4; // a play earns, a gateway saves so many
-    private static final double PROBE_OLD_MS = 60_000; // older figures are all alike
-    private static final double PROBE_AGAIN_MS = 500; // a suspect is not probed sooner than this again
+    private static final double ASK_MS = 60;        // a play waits so long for a probe
     private static final double PROBE_STALE_MS = 1_500; // no host is probed whose figure is younger
+    private static final double STOOD_MS = 250;     // we stood still if not even a look came for so long
     private static final double QUANTILE = 0.9;     // house way: this quantile of answer times judges a host
     private static final int FELLOWS_LEAST = 3;     // no host is judged among fewer
     private static final double SLOW_TIMES = 4;     // slow: so many times its fellows' quantile
     private static final double SLOW_LEAST_MS = 250; // and no less than this
-    private static final double SUSPECT_MS = 2_000; // first time out of favour; doubles up to the next
-    private static final double SUSPECT_MOST_MS = 8_000;
+    private static final double SUSPECT_MS = 4_000; // time out of favour
     private static final int GOOD_TO_CLEAR = 2;     // answers in a row that clear a suspect
-    private static final double JUDGED_MOST = 0.4;  // beyond this part of the fleet slowness judges none
     private static final double COLD_MARGIN = 0.6;  // part of the pace that fells a cold host that we may use
     private static final double UNPROVEN_PARTS = 1.2; // we share an unproven host with so many new gateways
     private static final double HOLD_SHARE = 0.85;   // a play is held for this part of its expected time
     private static final double HOLD_OFF_MS = 1_000; // a viewer who is shed is told to come back after this
-    private static final double EDGE_MS = 30;       // a last leg's time-out falls so long before the stop
-    private static final double SPAN_EDGE_MS = 50;  // the span of the legs' ration is taken longer by this
+    private static final double EDGE_MS = 30;       // kept off hard stops and the span of the ration
+    private static final Map<Outcome, String> WRONG = Map.of(Outcome.FAILED, "a failed set-up",
+        Outcome.TIMED_OUT, "a leg timed out", Outcome.UNREACHABLE, "unreachable",
+        Outcome.BROKEN_OFF, "a play or leg broke off");
     private static final double SHARE_BURST_MS = 10_000; // a customer may be ahead of its share by so much
+    private static final double SHARE_BURST = 5;    // and by so many plays: few say nothing of a share
+    private static final double LAPSE_MS = 15_000;  // a suspect that nothing was heard of is forgotten
+    private static final double COLD_SPAN_MS = 10_000; // plays taken in this time tell our cold part
     private static final double AWAY_MS = 1_000;    // a host that turns a leg away is passed over for so long
     private static final double LAST_RESORT = 1e6;  // taken off a suspect's score before its time
     private static final double CREDIT_LEARN = 0.02, LIFE_LEARN = 0.05; // one play in the usual
@@ -68,20 +76,22 @@
     private final MoveTerms moves;
     private final Gateway out;
     private final double middleKb, rackKb;
-    private final Map<String, Host> hosts = new TreeMap<>(); // emptied as hosts leave the list
-    private final Map<Integer, Rack> racks = new TreeMap<>(); // one for each rack
+    private final Fleet fleet;
     private final Map<PlayId, Play> plays = new LinkedHashMap<>(); // emptied as plays end
     private final Map<PlayId, Play> held = new LinkedHashMap<>(); // emptied as they go out or are given up
     private final Map<List<Object>, Integer> seats = new HashMap<>(); // emptied as plays end
     private final Map<CustomerId, Tokens> shares = new HashMap<>(); // one for each customer
     private final Span takes, further; // plays taken and further legs; emptied as the ration's span passes
+    private final Span lately = new Span(COLD_SPAN_MS); // plays taken; emptied as the span passes
     private double beyond = 1; // worth of a play beyond its customer's share
     private final List<Stage> chain = List.of(new Terms(), new Placing(), new Quality(), new Sending());
     private final Chance chance;
     private final Gauge all = new Gauge(); // own load everywhere
     private double kbAUnit, sumSize = 1; // told links
+    private double seenAt = Double.NaN, stoodFrom, stoodTo = Double.NEGATIVE_INFINITY; // when we stood still
     private double averageUse, averageOwn, averageAt = Double.NEGATIVE_INFINITY;
-    private double fellows = Double.NaN; // the fellows' usual quantile of answer times
+    private double fellows = Double.POSITIVE_INFINITY; // the fellows' usual quantile of answer times
+    private boolean answersNew;
     private double nextRecheck, probeTokens, askAgainAt = Double.POSITIVE_INFINITY;
     private double life = LIFE_MS, credit = 1; // usual length and credit of a play
 
@@ -96,29 +106,27 @@
         this.reports = reports;
         this.moves = moves;
         this.out = out;
+        fleet = new Fleet(links.cells(), links.racks());
         chance = new Chance(post.seed());
-        takes = new Span(legs.spanMs() - SPAN_EDGE_MS);
-        further = new Span(legs.spanMs() + SPAN_EDGE_MS);
+        takes = new Span(legs.spanMs() - EDGE_MS);
+        further = new Span(legs.spanMs() + EDGE_MS);
         for (Share s : shares) {
             double pace = s.playsPerS() / 1000 / post.gateways();
-            this.shares.put(s.customer(), new Tokens(pace, pace * SHARE_BURST_MS));
+            this.shares.put(s.customer(), new Tokens(pace, Math.max(SHARE_BURST, pace * SHARE_BURST_MS)));
             beyond = s.beyond();
         }
-        rackKb = links.rackKb() > 0 ? links.rackKb() : Double.MAX_VALUE;
-        int n = ladder.kb().size();
-        middleKb = n == 0 ? 1 : Math.sqrt(ladder.kb().get(0) * ladder.kb().get(n - 1));
+        rackKb = links.rackKb() > 0 ? links.rackKb() : 1e15;
+        middleKb = ladder.middleKb();
     }
 
     // ---- The list of hosts
 
     public void listRemembered(double now, List<HostLine> lines) {
         listWhole(now, lines);
-        for (Host h : hosts.values()) { // an old list: who runs now, and since when, is not proven
-            h.unprovenSince = now;
-        }
+        fleet.all().forEach(h -> h.unprovenSince = now); // an old list proves nothing of now
         askAgainAt = reports.askForList() ? now : Double.POSITIVE_INFINITY;
-        if (nextRecheck == 0) {
-            nextRecheck = now + RECHECK_MS;
+        if (nextRecheck == 0) { // fellows that start together look at their plays at times of their own
+            nextRecheck = now + RECHECK_MS * (0.5 + chance.next());
             out.wake(now + LOOK_MS, "look");
         }
     }
@@ -126,9 +134,9 @@
     public void listWhole(double now, List<HostLine> lines) {
         Map<String, HostLine> named = new HashMap<>();
         lines.forEach(l -> named.put(l.host().value(), l));
-        for (Host h : new ArrayList<>(hosts.values())) {
+        for (Host h : new ArrayList<>(fleet.all())) {
+            HostLine l = h.line;
             if (!named.containsKey(h.id.value())) {
-                HostLine l = h.line;
                 take(new HostLine(h.id, l.place(), l.slots(), l.cell(), HostLine.Standing.GONE, 0, 0), now);
             }
         }
@@ -136,90 +144,69 @@
     }
 
     public void listChanged(double now, List<HostLine> lines) {
+        turn(now);
         lines.forEach(l -> take(l, now));
-        Map<Integer, Double> cells = new TreeMap<>();
-        hosts.values().stream().filter(Host::ready).forEach(h -> cells.put(h.line.cell(), units(h.line)));
-        sumSize = hosts.values().stream().filter(Host::ready).mapToDouble(h -> units(h.line)).sum();
-        if (kbAUnit == 0 && !cells.isEmpty()) { // told as of the start, when each cell has one host
-            double all = cells.values().stream().mapToDouble(d -> d).sum();
-            kbAUnit = links.allKb() > 0 ? links.allKb() / all : Math.max(links.unitKb(), middleKb);
-        }
-        sumSize = Math.max(1, sumSize * kbAUnit);
+        double sum = 0;
+        for (Host h : fleet.all()) {
+            sum += h.ready() ? links.units(h.line) : 0;
+        }
+        if (kbAUnit == 0 && sum > 0) { // told as of the start; uplinks are shared out by their links
+            kbAUnit = links.allKb() > 0 ? links.allKb() / sum : Math.max(links.unitKb(), middleKb);
+            double aUnit = rackKb * Math.max(1, links.racks()) / sum;
+            fleet.all().forEach(h -> h.rack.uplinkKb += h.ready() ? aUnit * links.units(h.line) : 0);
+        }
+        fleet.all().forEach(h -> h.rack.uplinkKb = h.rack.uplinkKb > 0 ? h.rack.uplinkKb : rackKb);
+        sumSize = Math.max(1, sum * kbAUnit);
         averageAt = Double.NEGATIVE_INFINITY;
     }
 
     public void listLost(double now) {
-        out.log("list lost: going by the last one, " + hosts.size() + " hosts");
+        out.log("list lost: going by the last one, " + fleet.all().size() + " hosts");
         askAgainAt = now + SUSPECT_MS;
     }
 
     private void take(HostLine l, double now) {
-        Host h = hosts.get(l.host().value());
+        Host h = fleet.get(l.host());
         if (h == null) {
             if (l.standing() == HostLine.Standing.GONE) {
                 return;
             }
-            Rack rack = racks.computeIfAbsent(l.cell() % Math.max(1, links.racks()), k -> new Rack());
-            h = new Host(l, rack);
-            h.outFor = SUSPECT_MS;
-            rack.hosts.add(h);
-            hosts.put(l.host().value(), h);
+            h = fleet.add(l);
         } else if (l.launched() > h.line.launched()) { // it came back: what was known of it is void
             h.forgetAnswers();
             h.suspect = h.silent = false;
-            h.outFor = SUSPECT_MS;
         }
         h.line = l;
         if (l.launched() > 0 && now - l.launched() < cold.warmMs()) {
             h.coldSince = l.launched();
         }
-        drop(h);
-    }
-
-    private void drop(Host h) { // a host is forgotten when it is off the list and empty
-        if (h.line.standing() == HostLine.Standing.GONE && h.mine == 0) {
-            hosts.remove(h.id.value());
-            h.rack.hosts.remove(h);
-        }
-    }
-
-    private double units(HostLine l) {
-        double u = links.sizeListed() ? l.units() : l.slots();
-        return u > 0 ? u : 1;
+        fleet.drop(h);
     }
 
     /** Told link of a host; a cold one's is smaller by the share that it has warmed. */
     private double size(Host h, double now) {
-        return Math.max(1, units(h.line) * kbAUnit * warmth(h.coldSince, now));
-    }
-
-    private double warmth(double since, double now) {
-        double t = (now - since) / Math.max(1, cold.warmMs());
-        return t >= 1 ? 1 : cold.from() + (1 - cold.from()) * Math.max(0, t);
+        return Math.max(1, links.units(h.line) * kbAUnit * cold.warmth(h.coldSince, now));
     }
 
     // ---- What is known of use
 
-    /** Newer beats older by the time that a figure speaks of. */
-    private void tell(Gauge g, double use, double of) {
-        if (of >= g.toldOf) {
-            g.told = use;
-            g.toldOf = of;
-            g.ownThen = g.ownAt(of);
-            g.allThen = all.ownAt(of);
-        }
+    /** The latest report with own load since; as it fades, the guess takes over. */
+    private double use(Gauge g, double size, double guess, double now) {
+        double w = g.weight(FADE_MS, now);
+        double theirs = g.told * grown(g.allThen) * (post.gateways() - 1) / post.gateways();
+        double told = Math.max(g.own / size, g.told + (g.own - g.ownThen) / size + theirs);
+        return w == 0 ? guess : w * told + (1 - w) * guess;
     }
 
-    private static double weight(Gauge g, double now) {
-        return Double.isNaN(g.told) ? 0 : Math.exp(-Math.max(0, now - g.toldOf) / FADE_MS);
+    /** By what part the fellows' load grew: as ours did, in so far as ours is more than a few plays. */
+    private double grown(double since) {
+        double few = (post.gateways() - 1) / 2.0 * middleKb;
+        return (all.own - since) / Math.max(1, Math.max(all.own, since) + few);
     }
 
-    /** The latest report with own load since; as it fades, the guess takes over. */
-    private double use(Gauge g, double size, double guess, double now) {
-        double w = weight(g, now);
-        double fellows = (post.gateways() - 1) * (all.own - g.allThen) / sumSize; // they change as we do
-        double told = Math.max(g.own / size, g.told + (g.own - g.ownThen) / size + fellows);
-        return w == 0 ? guess : w * told + (1 - w) * guess;
+    /** From 1 down to 0: how little this gateway can tell of hosts by its own plays there. */
+    private double unsure() {
+        return post.gateways() == 1 ? 0 : fleet.all().size() / (double) (fleet.all().size() + plays.size());
     }
 
     private double linkUse(Host h, double now) {
@@ -228,23 +215,23 @@
 
     /** Unheard hosts count as average, with more or less by what this gateway itself has there. */
     private double guess(Host h, double now) {
-        average(now);
+        if (now - averageAt >= LOOK_MS) {
+            averageAt = now;
+            average(now);
+        }
         double own = h.link.own / size(h, now);
-        double since = post.gateways() * (all.own - averageOwn); // a crowd within one look counts too
-        return Math.max(own, averageUse + own + (since - all.own) / sumSize);
+        return Math.max(own, averageUse * (1 + grown(averageOwn)) + own - all.own / sumSize);
     }
 
     private void average(double now) {
-        if (now - averageAt < LOOK_MS) {
-            return;
-        }
-        averageAt = now;
-        double weight = 1;
-        double sum = post.gateways() * all.own / sumSize; // exception: own plays stand for fellows' too
-        for (Host h : hosts.values()) {
+        fleet.heard.removeIf(h -> now - h.link.toldOf > FORGET_FADES * FADE_MS);
+        double sure = post.gateways() == 1 ? 1 : plays.size() / (plays.size() + FEW);
+        double weight = 1; // exception: own plays stand for fellows' too, the fewer the less
+        double sum = sure * post.gateways() * all.own / sumSize + (1 - sure) * MARK;
+        for (Host h : fleet.heard) {
             if (h.ready() && !h.silent) {
-                weight += weight(h.link, now);
-                sum += weight(h.link, now) * use(h.link, size(h, now), 0, now);
+                weight += h.link.weight(FADE_MS, now);
+                sum += h.link.weight(FADE_MS, now) * use(h.link, size(h, now), 0, now);
             }
         }
         averageUse = sum / weight;
@@ -254,85 +241,93 @@
     /** A rack's uplink, guessed from its hosts' links; where none is told it is never the narrower one. */
     private double uplinkUse(Rack r, double now) {
         double sum = r.hosts.stream().mapToDouble(h -> h.silent ? 0 : linkUse(h, now) * size(h, now)).sum();
-        return use(r.uplink, rackKb, sum / rackKb, now);
+        return use(r.uplink, r.uplinkKb, sum / r.uplinkKb, now);
     }
 
-    private double streams(Host h) {
-        return Double.isNaN(h.streamsTold) ? (double) h.mine * post.gateways()
-            : Math.max(h.mine, h.streamsTold + h.mine - h.streamsThen);
+    /** Streams in use; where none are told, as many as plays at the middle rate make that use. */
+    private double streams(Host h, double now) {
+        double mine = h.plays.size();
+        return Math.max(mine, Double.isNaN(h.streamsTold) ? linkUse(h, now) * size(h, now) / middleKb
+            : h.streamsTold + mine - h.streamsThen);
     }
 
     private void heard(HostId id, Load load, double of) {
-        Host h = hosts.get(id.value());
+        Host h = fleet.get(id);
         if (h == null) {
             return;
         }
         if (!Double.isNaN(load.link())) {
-            tell(h.link, load.link(), of);
+            h.link.tell(load.link(), false, of, all);
+            fleet.heard.add(h);
         }
         if (!Double.isNaN(load.uplink())) {
-            tell(h.rack.uplink, load.uplink(), of);
+            h.rack.uplink.tell(load.uplink(), false, of, all);
         }
         if (!Double.isNaN(load.streams())) {
             h.streamsTold = load.streams();
-            h.streamsThen = h.mine;
+            h.streamsThen = h.plays.size();
         }
     }
 
     /** Figures about plays that play: NaN for what is not told. */
     public void loadTold(double now, HostId id, Load load) {
-        heard(id, load, now - reports.toldLateMs());
+        turn(now);
+        heard(id, load, from(now) - reports.toldLateMs());
     }
 
     /** A share under 1 says that link or uplink is over by its inverse; fellows of the rack tell which. */
     public void shareTold(double now, HostId id, double share) {
-        Host h = hosts.get(id.value());
+        Host h = fleet.get(id);
         if (h == null) {
             return;
         }
-        double of = now - reports.toldLateMs();
+        turn(now);
+        double of = from(now) - reports.toldLateMs();
+        fleet.heard.add(h);
         h.share = share;
         h.shareOf = of;
         if (share >= FULL_SHARE) {
-            for (Gauge g : List.of(h.link, h.rack.uplink)) {
-                tell(g, g.told > 1 ? FULL_SHARE : g.told, g.told > 1 ? of : g.toldOf);
-            }
+            Stream.of(h.link, h.rack.uplink).filter(g -> g.told > 1)
+                .forEach(g -> g.tell(FULL_SHARE, true, of, all));
             return;
         }
         double mine = 0, shortOnes = 0, sum = 0;
         for (Host f : h.rack.hosts) {
             boolean isShort = f.share < FULL_SHARE && of - f.shareOf < TOGETHER_MS;
-            mine += f.mine == 0 ? 0 : 1;
+            mine += f.plays.isEmpty() ? 0 : 1;
             shortOnes += isShort ? 1 : 0;
             sum += isShort ? f.share : 0;
         }
-        boolean denied = weight(h.link, now) > SURE && h.link.told < ROOMY; // its link report says not it
-        if (denied || shortOnes >= 2 && shortOnes * 2 >= mine) {
-            tell(h.rack.uplink, Math.min(USE_MOST, shortOnes / sum), of);
+        if (h.link.weight(FADE_MS, now) > SURE && h.link.told < ROOMY // its link's report denies it
+            || shortOnes >= 2 && shortOnes * 2 >= mine) {
+            h.rack.uplink.tell(Math.min(USE_MOST, shortOnes / sum), true, of, all);
         } else {
-            tell(h.link, Math.min(USE_MOST, 1 / share), of);
+            h.link.tell(Math.min(USE_MOST, 1 / share), true, of, all);
         }
     }
 
     // ---- Plays
 
     public void wanted(double now, Wanted wish) {
-        Play p = new Play(wish, now);
+        turn(now);
+        double waited = Math.min(now - from(now), Math.max(0, wish.band().hardStopMs() - wish.leftMs()));
+        Play p = new Play(wish, now - waited, now, chance.next());
         plays.put(wish.play(), p);
         takes.add(now);
+        lately.add(now);
         credit += CREDIT_LEARN * (wish.band().credit() - credit);
         probeTokens = Math.min(PROBES_SAVED,
-            probeTokens + Math.min(PROBES_MOST, PROBE_PRICE / reports.probePrice()));
+            probeTokens + Math.min(PROBES_MOST, PROBE_PRICE * unsure() / reports.probePrice()));
         run(p, now);
     }
 
     /** A play that was under way at the start. */
     public void playing(double now, Wanted wish, HostId id) {
-        Host h = hosts.get(id.value());
+        Host h = fleet.get(id);
         if (h == null) {
             return;
         }
-        Play p = new Play(wish, now);
+        Play p = new Play(wish, now, now, chance.next());
         p.plays = p.answered = p.legOut = true;
         p.startedAt = now;
         p.host = h;
@@ -345,7 +340,7 @@
     public void rungTold(double now, PlayId id, int rung) {
         Play p = plays.get(id);
         if (p != null && p.host != null) {
-            weigh(p, rate(p, rung) - rate(p, p.rung), now);
+            weigh(p, p.kb(ladder, rung) - p.kb(ladder, p.rung), now);
             p.rung = p.rungTold = rung;
         }
     }
@@ -374,18 +369,23 @@
     }
 
     public void started(double now, PlayId id, int leg, HostId on, double took) {
+        turn(now);
         Play p = plays.get(id);
         if (p != null && p.host != null && !p.plays) {
             p.plays = p.answered = true;
             p.startedAt = now;
             p.host.legsOut--;
-            p.host.answered(took);
+            if (now > stoodTo) { // else we waited, not the host
+                p.host.answered(took);
+                answersNew = true;
+            }
             good(p.host, now);
         }
     }
 
     public void ended(double now, PlayId id, int leg, HostId on, Outcome how, boolean over, double took,
                       Load load) {
+        turn(now);
         Play p = plays.get(id);
         if (p == null || !p.legOut || leg != p.legs - 1) {
             return;
@@ -393,7 +393,7 @@
         for (int i = chain.size() - 1; i >= 0; i--) {
             chain.get(i).back(p, how, now);
         }
-        heard(on, load, now - LOOK_MS);
+        heard(on, load, from(now) - LOOK_MS);
         if (over || p.answered) {
             plays.remove(id);
             if (p.plays && how == Outcome.SERVED) {
@@ -417,10 +417,10 @@
     }
 
     private void load(Play p, double now) {
-        p.host.mine++;
+        fleet.put(p);
         p.host.legsOut += p.plays ? 0 : 1;
-        weigh(p, rate(p, p.rung), now);
-        seats.merge(seat(p), 1, Integer::sum);
+        weigh(p, p.kb(ladder, p.rung), now);
+        seats.merge(p.wish.seat(), 1, Integer::sum);
     }
 
     private void weigh(Play p, double kb, double now) {
@@ -429,38 +429,24 @@
         all.add(kb, now);
     }
 
-    private static List<Object> seat(Play p) {
-        return List.of(p.wish.title(), p.wish.band().name());
-    }
-
-    private double rate(Play p, int rung) {
-        return ladder.kb().isEmpty() ? 0
-            : ladder.kb().get(Math.min(rung, ladder.kb().size() - 1)) * p.wish.band().rates();
-    }
-
-    private int top(Play p) {
-        return Math.max(p.wish.band().floor(),
-            Math.min(Math.min(p.wish.bestRung(), p.wish.band().top()), ladder.kb().size() - 1));
-    }
-
     /** Terms: most legs, seats of title and band, and the customer's share, beyond which a play gives way. */
     private final class Terms implements Stage {
         @Override
         public Verdict pass(Play p, double now) {
             int most = p.wish.band().seats();
-            if (p.legs >= legs.most() || most > 0 && seats.getOrDefault(seat(p), 0) >= most) {
+            if (p.legs >= legs.most() || most > 0 && seats.getOrDefault(p.wish.seat(), 0) >= most) {
                 return Verdict.END;
             }
             Tokens share = shares.get(p.wish.customer());
             if (share != null && p.legs == 0 && !held.containsKey(p.wish.play())) {
-                p.beyondShare = !share.take(now);
+                p.part = share.take(now) ? 1 : beyond;
             }
             return Verdict.PASS;
         }
 
         @Override
         public void back(Play p, Outcome how, double now) {
-            seats.computeIfPresent(seat(p), (k, n) -> n <= 1 ? null : n - 1);
+            seats.computeIfPresent(p.wish.seat(), (k, n) -> n <= 1 ? null : n - 1);
         }
     }
 
@@ -468,8 +454,9 @@
     private final class Placing implements Stage {
         @Override
         public Verdict pass(Play p, double now) {
-            p.host = best(p, now, null);
-            if (p.host != null) {
+            boolean waits = p.asked != null && p.asked.probeOut && now - p.asked.probedAt < ASK_MS;
+            p.host = waits ? null : best(p, now, null);
+            if (p.host != null && !asks(p, now)) {
                 held.remove(p.wish.play());
                 return Verdict.PASS;
             }
@@ -483,28 +470,47 @@
 
         @Override
         public void back(Play p, Outcome how, double now) {
-            p.host.mine--;
             p.host.legsOut -= p.plays ? 0 : 1;
-            weigh(p, -rate(p, p.rung), now);
-            drop(p.host);
+            weigh(p, -p.kb(ladder, p.rung), now);
+            fleet.off(p);
             if (how != Outcome.SERVED) {
                 p.tried.add(p.host);
             }
         }
     }
 
-    /** The holder with the best score; a suspect before its time only where there is no other. */
+    /** Exception: where probes are allowed, the best holder is asked if its figure is old, and the choice
+     *  is made again. Guards against hosts little known or away; it harms where answers are slow. */
+    private boolean asks(Play p, double now) {
+        Host h = p.host;
+        if (!reports.mayProbe() || probeTokens < 1 || h.probeOut
+            || now - Math.max(h.link.toldOf, h.probedAt) < PROBE_STALE_MS) {
+            return false;
+        }
+        p.asked = h;
+        probeTokens--;
+        h.probeOut = true;
+        h.probedAt = now;
+        out.probe(h.id);
+        return true;
+    }
+
+    /** The holder with the best score; a suspect before its time only where there is no other. Exception: the
+     *  less is known of a host, the more use is added by chance, so that gateways that know nothing of equal
+     *  hosts spread over them. */
     private Host best(Play p, double now, Host not) {
         Host best = null;
         double most = Double.NEGATIVE_INFINITY;
-        for (Host h : hosts.values()) {
-            if (h == not || !h.ready() || !holds(h, p) || p.tried.contains(h) || now < mayTake(h, now)
+        for (Host h : fleet.holders(p.wish.firstCell(), p.wish.holders())) {
+            boolean doubted = h.suspect && now < h.retryAt + LAPSE_MS;
+            if (h == not || !h.ready() || p.tried.contains(h) || now < mayTake(h, p, now)
                 || now - h.turnedAwayAt < AWAY_MS
-                || h.line.slots() > 0 && streams(h) >= h.line.slots()
-                || h.suspect && (p.wish.band().paid() || h.probeOut || h.legsOut > 0)) {
+                || h.line.slots() > 0 && streams(h, now) >= h.line.slots()
+                || doubted && (p.wish.band().paid() || h.probeOut || h.legsOut > 0)) {
                 continue; // a suspect is tried with one play at a time, never with a paid one
             }
-            double score = score(h, now) - (h.suspect && now < h.retryAt ? LAST_RESORT : 0);
+            double score = score(h, SPREAD * unsure(), now);
+            score -= doubted && now < h.retryAt || h.probeOut && now - h.probedAt >= ASK_MS ? LAST_RESORT : 0;
             if (score > most) {
                 most = score;
                 best = h;
@@ -513,27 +519,31 @@
         return best;
     }
 
-    private boolean holds(Host h, Play p) {
-        return links.cells() <= 0 || p.wish.holders() <= 0
-            || Math.floorMod(h.line.cell() - p.wish.firstCell(), links.cells()) < p.wish.holders();
-    }
-
     /** The design's score: spare rate, in plays at the middle rate, plus 1 over the percentage of streams. */
-    private double score(Host h, double now) {
-        double spare = Math.min(size(h, now) * (1 - linkUse(h, now)), rackKb * (1 - uplinkUse(h.rack, now)));
-        double percent = h.line.slots() > 0 ? 100 * streams(h) / h.line.slots() : 100;
+    private double score(Host h, double unsure, double now) {
+        Gauge up = h.rack.uplink;
+        double link = linkUse(h, now) + unsure * (1 - h.link.weight(FADE_MS, now)) * chance.next();
+        double uplink = uplinkUse(h.rack, now) + unsure * (1 - up.weight(FADE_MS, now)) * chance.next();
+        double spare = Math.min(size(h, now) * (1 - link), h.rack.uplinkKb * (1 - uplink));
+        double percent = h.line.slots() > 0 ? 100 * streams(h, now) / h.line.slots() : 100;
         return spare / middleKb + 1 / Math.max(1, percent);
     }
 
-    /** When a host may next be sent a set-up: a cold or unproven one at our part of a safe pace only. */
-    private double mayTake(Host h, double now) {
+    /** When a host may next be sent a set-up: a cold or unproven one at our part of a safe pace. Where that
+     *  is under one play in the time that counts, plays pass by chance, at odds that sum to the pace over all
+     *  gateways however many plays each takes, as a play counts in its own odds. */
+    private double mayTake(Host h, Play p, double now) {
         double since = Math.max(h.coldSince, h.unprovenSince);
         if (cold.warmMs() <= 0 || cold.fallMs() <= 0 || now - since >= cold.warmMs() || h.line.slots() <= 0) {
             return Double.NEGATIVE_INFINITY;
         }
-        double pace = h.line.slots() / cold.warmMs() * warmth(since, now); // set-ups a ms
+        double pace = h.line.slots() / cold.warmMs() * cold.warmth(since, now); // set-ups a ms
         double parts = h.coldSince >= since ? post.gateways() : Math.min(post.gateways(), UNPROVEN_PARTS);
         double gap = parts / (pace * cold.multiple() * COLD_MARGIN);
+        if (gap > cold.fallMs()) {
+            double odds = COLD_SPAN_MS / (gap * Math.max(1, lately.count(now)));
+            return p.luck < odds ? h.lastSent + gap : Double.POSITIVE_INFINITY;
+        }
         double turn = gap * (post.me() + 0.5) / post.gateways(); // fellows begin in turn
         return Math.max(since + turn, h.lastSent + gap);
     }
@@ -542,12 +552,12 @@
     private final class Quality implements Stage {
         @Override
         public Verdict pass(Play p, double now) {
-            int rung = p.beyondShare ? p.wish.band().floor() : top(p);
-            double size = size(p.host, now);
-            double use = linkUse(p.host, now);
+            double size = size(p.host, now), uplinkKb = p.host.rack.uplinkKb;
+            double use = linkUse(p.host, now) + UNSURE * unsure() * (1 - p.host.link.weight(FADE_MS, now));
             double uplink = uplinkUse(p.host.rack, now);
-            while (rung > p.wish.band().floor()
-                && Math.max(use + rate(p, rung) / size, uplink + rate(p, rung) / rackKb) > mark(p, rung)) {
+            int rung = p.part < 1 ? p.wish.band().floor() : ladder.top(p.wish);
+            while (rung > p.wish.band().floor() && Math.max(use + p.kb(ladder, rung) / size,
+                uplink + p.kb(ladder, rung) / uplinkKb) > mark(p, rung)) {
                 rung--;
             }
             p.rung = rung;
@@ -559,7 +569,9 @@
     private final class Sending implements Stage {
         @Override
         public Verdict pass(Play p, double now) {
-            if (p.legs > 0 && !furtherAllowed(now) || now > p.hardStop - EDGE_MS) {
+            boolean spent = legs.share() >= 0
+                && further.count(now) + 1 > legs.spare() + legs.share() * takes.count(now);
+            if (p.legs > 0 && spent || now > p.hardStop - EDGE_MS) {
                 return Verdict.END;
             }
             if (p.legs > 0) {
@@ -583,14 +595,12 @@
         public void back(Play p, Outcome how, double now) {
             p.legOut = false;
             p.mayHaveRun |= !how.neverRan;
-            judge(p.host, how, p.plays, now);
+            if (how != Outcome.TIMED_OUT || now > stoodTo) { // else the time ran out while we stood still
+                judge(p.host, how, now);
+            }
         }
     }
 
-    private boolean furtherAllowed(double now) {
-        return legs.share() < 0 || further.count(now) + 1 <= legs.spare() + legs.share() * takes.count(now);
-    }
-
     /** A leg's time-out: what fellows need, so that a further leg still fits; a paid play has just one. */
     private double patience(Play p, double now) {
         double left = p.hardStop - EDGE_MS - now;
@@ -598,9 +608,8 @@
             return left;
         }
         double expected = p.takenAt + p.wish.band().expectedMs() - now;
-        double half = (expected > 0 ? expected : left) / 2;
-        double need = Double.isNaN(fellows) ? half : Math.min(half, SLOW_TIMES * fellows);
-        return Math.min(left, Math.max(SLOW_LEAST_MS, need));
+        double most = (expected > 0 ? expected : left) / 2;
+        return Math.min(left, Math.max(SLOW_LEAST_MS, Math.min(most, SLOW_TIMES * fellows)));
     }
 
     // ---- Health
@@ -612,19 +621,15 @@
         }
         if (h.suspect && ++h.goodInRow >= GOOD_TO_CLEAR) {
             h.suspect = false;
-            h.outFor = SUSPECT_MS;
             out.log("host " + h.id.value() + " sound again after " + h.goodInRow + " good answers");
         }
     }
 
-    private void judge(Host h, Outcome how, boolean played, double now) {
-        switch (how) {
-            case FAILED -> doubt(h, false, "a failed set-up", now);
-            case TIMED_OUT -> doubt(h, true, "a leg timed out", now);
-            case UNREACHABLE -> doubt(h, true, "unreachable", now);
-            case BROKEN_OFF -> doubt(h, true, played ? "a play broke off" : "a leg broke off", now);
-            case TURNED_AWAY -> h.turnedAwayAt = now;
-            default -> { }
+    private void judge(Host h, Outcome how, double now) {
+        if (how == Outcome.TURNED_AWAY) {
+            h.turnedAwayAt = now;
+        } else if (WRONG.containsKey(how)) {
+            doubt(h, how != Outcome.FAILED, WRONG.get(how), now);
         }
     }
 
@@ -632,49 +637,71 @@
      *  the cause; it harms where one chance failure takes a holder of a wanted title out for a while. */
     private void doubt(Host h, boolean silent, String why, double now) {
         if (!h.suspect) {
-            out.log("host " + h.id.value() + " suspect: " + why + ", out for " + h.outFor + " ms");
-        }
-        if (!h.suspect || now >= h.retryAt) {
-            h.retryAt = now + h.outFor;
-            h.outFor = Math.min(SUSPECT_MOST_MS, h.outFor * 2);
+            out.log("host " + h.id.value() + " suspect: " + why + ", out for " + SUSPECT_MS + " ms");
         }
+        h.retryAt = now + SUSPECT_MS;
         h.suspect = true;
         h.silent |= silent;
         h.goodInRow = 0;
     }
 
     public void probed(double now, HostId id, Outcome how, double took, Load load) {
-        Host h = hosts.get(id.value());
+        turn(now);
+        Host h = fleet.get(id);
         if (h == null) {
             return;
         }
         h.probeOut = false;
         if (how == Outcome.SERVED) {
-            heard(id, load, now - LOOK_MS);
+            heard(id, load, from(now) - LOOK_MS);
             if (h.suspect && h.silent) {
                 good(h, now);
             }
-        } else if (how == Outcome.TIMED_OUT || how == Outcome.UNREACHABLE || how == Outcome.BROKEN_OFF) {
+        } else if (how != Outcome.TIMED_OUT && how != Outcome.UNREACHABLE && how != Outcome.BROKEN_OFF) {
+            return;
+        } else if (now > stoodTo) {
             doubt(h, true, "a probe went unanswered", now);
         }
+        for (Play p : new ArrayList<>(held.values())) {
+            if (p.asked == h) {
+                run(p, now);
+            }
+        }
+    }
+
+    /** Guards against a gateway that stood still: what ran out or came late then says nothing of hosts,
+     *  and plays and figures are as old as they are. It harms where a host failed in just that time. */
+    private void turn(double now) {
+        if (now - seenAt > STOOD_MS) {
+            stoodFrom = seenAt;
+            stoodTo = now;
+            out.log("stood still for " + (now - seenAt) + " ms: time-outs of that time are not counted");
+        }
+        seenAt = now;
+    }
+
+    /** The earliest time at which what is heard now may have come. */
+    private double from(double now) {
+        return now > stoodTo ? now : stoodFrom;
     }
 
     // ---- What is looked at again and again
 
     public void woke(double now, String mark) {
+        turn(now);
         out.wake(now + LOOK_MS, "look");
         for (Play p : new ArrayList<>(held.values())) {
             run(p, now);
         }
         compare(now);
-        hosts.values().forEach(h -> ease(h.link, linkUse(h, now), p -> p.host == h, now));
-        racks.values().forEach(r -> ease(r.uplink, uplinkUse(r, now), p -> p.host.rack == r, now));
-        hosts.values().forEach(h -> raise(h, now));
+        fleet.busy.values().forEach(h -> ease(h.link, h.plays, () -> linkUse(h, now), now));
+        fleet.busy.values().stream().map(h -> h.rack).distinct()
+            .forEach(r -> ease(r.uplink, r.plays(), () -> uplinkUse(r, now), now));
+        fleet.busy.values().forEach(h -> raise(h, now));
         if (now >= nextRecheck) {
             nextRecheck = now + RECHECK_MS;
             recheck(now);
         }
-        probe(now);
         if (now >= askAgainAt) {
             askAgainAt = Double.POSITIVE_INFINITY;
             out.followList();
@@ -683,90 +710,83 @@
 
     /** The house way: a host is judged by a high quantile of its answer times against its fellows'. */
     private void compare(double now) {
-        Map<Host, Double> known = new LinkedHashMap<>();
-        hosts.values().forEach(h -> known.put(h, h.quantile(QUANTILE)));
-        double[] usual = known.values().stream().filter(q -> q > 0).mapToDouble(q -> q).sorted().toArray();
-        if (usual.length < FELLOWS_LEAST) {
-            return;
+        if (answersNew) {
+            answersNew = false;
+            fellows = fleet.median(QUANTILE, FELLOWS_LEAST);
         }
-        fellows = usual[usual.length / 2];
         double slow = Math.max(SLOW_LEAST_MS, SLOW_TIMES * fellows);
-        long listed = hosts.values().stream().filter(Host::ready).count();
-        long doubted = hosts.values().stream().filter(h -> h.ready() && h.suspect).count();
-        for (Host h : hosts.values()) {
-            double worst = known.get(h);
-            for (Play p : plays.values()) { // a leg still out tells before it times out
-                worst = p.host == h && p.legOut && !p.plays ? Math.max(worst, now - p.sentAt) : worst;
+        for (Host h : fleet.busy.values()) {
+            double worst = h.quantile(QUANTILE);
+            for (Play p : h.plays) { // a leg still out tells before it times out
+                worst = p.legOut && !p.plays ? Math.max(worst, now - Math.max(p.sentAt, stoodTo)) : worst;
             }
-            if (!h.suspect && h.ready() && doubted < JUDGED_MOST * listed && worst > slow) {
+            if (!h.suspect && h.ready() && worst > slow) {
                 doubt(h, false, "slow, " + worst + " ms against " + fellows, now);
                 h.forgetAnswers();
-                doubted++;
+                answersNew = true;
             }
         }
     }
 
-    /** What the step up to a rung earns for each kB of its rate. */
-    private double earnsAKb(Play p, int rung) {
-        double value = p.wish.band().credit() * (p.beyondShare ? beyond : 1)
-            * (ladder.credit().get(rung) - ladder.credit().get(rung - 1));
-        return value / Math.max(1e-9, rate(p, rung) - rate(p, rung - 1));
-    }
-
     /** Steps playing plays down under pressure, least earned a kB first, by our part of what is over. */
-    private void ease(Gauge g, double use, Predicate<Play> there, double now) {
-        if (use <= HIGH || g.toldOf <= g.cutAt) {
+    private void ease(Gauge g, Collection<Play> there, DoubleSupplier reckoned, double now) {
+        double use = g.toldOf > g.cutAt ? reckoned.getAsDouble() : 0;
+        if (use <= (g.delivered ? HIGH_TOLD : HIGH)) {
             return;
         }
         g.cutAt = now;
         double need = g.own * (use - CUT_TO) / use;
         Map<Play, Integer> to = new LinkedHashMap<>();
-        List<Play> steps = new ArrayList<>(); // each play once for each rung that it can give
-        for (Play p : plays.values()) {
-            if (p.plays && there.test(p) && now - p.rungAt >= RUNG_GAP_MS) {
-                steps.addAll(Collections.nCopies(p.rung - p.wish.band().floor(), p));
+        there.stream().filter(p -> p.mayChange(now - RUNG_GAP_MS)).forEach(p -> to.put(p, p.rung));
+        while (need > 0) {
+            Play p = to.keySet().stream().filter(q -> to.get(q) > q.wish.band().floor())
+                .min(Comparator.comparing(q -> q.earnsAKb(ladder, to.get(q)))).orElse(null);
+            double kb = p == null ? 0 : p.kb(ladder, to.get(p)) - p.kb(ladder, to.get(p) - 1);
+            if (p == null || !passes(need, kb)) {
+                break;
             }
-        }
-        while (need > 0 && !steps.isEmpty()) {
-            Play p = Collections.min(steps,
-                Comparator.comparing(q -> earnsAKb(q, to.getOrDefault(q, q.rung))));
-            int rung = to.getOrDefault(p, p.rung);
-            need -= rate(p, rung) - rate(p, rung - 1);
-            to.put(p, rung - 1);
-            steps.remove(p);
+            need -= kb;
+            to.merge(p, -1, Integer::sum);
         }
         to.forEach((p, rung) -> change(p, rung, now));
     }
 
+    /** Takes part of a whole by chance, one among all gateways at least, so that their sum is right. Guards
+     *  against hundreds of gateways that each take one at least, or none; it harms where chance tells ill. */
+    private boolean passes(double part, double whole) {
+        return part >= whole || chance.next() < Math.max(part / whole, 1.0 / post.gateways());
+    }
+
     /** Steps playing plays up where there is room, most earned a kB first, by our part of the room. */
     private void raise(Host h, double now) {
-        if (now - h.raisedAt < RAISE_MS || h.mine == 0 || h.suspect) {
+        if (now - h.raisedAt < RAISE_MS || h.suspect) {
             return;
         }
         h.raisedAt = now;
-        double size = size(h, now), use = linkUse(h, now), uplink = uplinkUse(h.rack, now);
-        double[] ours = {0};
-        plays.values().stream().filter(p -> p.host == h && p.plays && p.rung < top(p) && !p.beyondShare
-                && now - p.rungAt >= RUNG_GAP_MS)
-            .sorted(Comparator.comparing(p -> -earnsAKb(p, p.rung + 1))).forEach(p -> {
-                double kb = rate(p, p.rung + 1) - rate(p, p.rung);
-                double mark = Math.min(RAISE_MOST, mark(p, p.rung + 1) - RAISE_UNDER);
-                double then = (ours[0] + kb) * post.gateways(); // fellows see the same room
-                if (Math.max(use + then / size, uplink + then / rackKb) <= mark) {
-                    ours[0] += kb;
-                    change(p, p.rung + 1, now);
-                }
-            });
+        List<Play> lower = h.plays.stream()
+            .filter(p -> p.rung < ladder.top(p.wish) && p.part == 1 && p.mayChange(now - RUNG_GAP_MS))
+            .sorted(Comparator.comparing(p -> -p.earnsAKb(ladder, p.rung + 1))).toList();
+        double size = size(h, now), use = linkUse(h, now), uplink = uplinkUse(h.rack, now), ours = 0;
+        double part = Math.max(1.0 / post.gateways(), Math.min(1, h.link.own / Math.max(1, use * size)));
+        for (Play p : lower) {
+            double kb = p.kb(ladder, p.rung + 1) - p.kb(ladder, p.rung);
+            double mark = Math.min(RAISE_MOST, mark(p, p.rung + 1) - RAISE_UNDER);
+            double room = Math.min((mark - use) * size, (mark - uplink) * h.rack.uplinkKb);
+            if (ours + kb <= room && passes(room * part - ours, kb)) { // fellows see the same room
+                ours += kb;
+                change(p, p.rung + 1, now);
+            }
+        }
     }
 
     /** Use up to which a play may have a rung: the mark, and a step more for each rung below its top. */
     private double mark(Play p, int rung) {
-        return MARK + STEP * (top(p) - rung);
+        return MARK + STEP * (ladder.top(p.wish) - rung);
     }
 
     private void change(Play p, int rung, double now) {
         if (rung != p.rung) {
-            weigh(p, rate(p, rung) - rate(p, p.rung), now);
+            weigh(p, p.kb(ladder, rung) - p.kb(ladder, p.rung), now);
             p.rung = p.rungTold = rung;
             p.rungAt = now;
             out.setRung(p.wish.play(), rung);
@@ -775,21 +795,21 @@
 
     /** The design's re-check: moves plays off short links, where that saves more than it costs. */
     private void recheck(double now) {
-        int most = Math.max(1, (int) (MOVE_PACE * plays.size()));
-        for (Host h : hosts.values()) {
+        double most = MOVE_PACE * plays.size();
+        for (Host h : fleet.busy.values()) {
             double lost = Math.min(1, ladder.stall() * (FULL_SHARE - h.share));
             if (now - h.shareOf > TOGETHER_MS + reports.toldLateMs() || lost <= 0) {
                 continue;
             }
-            for (Play p : plays.values()) {
+            for (Play p : h.plays) {
+                double left = p.wish.lengthMs() > 0 ? p.startedAt + p.wish.lengthMs() - now : life / 2;
                 double saves = lost * p.wish.band().credit() * ladder.credit().get(p.rung)
-                    * Math.min(MOVE_SEES_MS, Math.max(0, left(p, now)));
-                if (most > 0 && p.host == h && p.plays && (!p.wish.moved() || now - p.takenAt > MOVE_GAP_MS)
+                    * Math.min(RECHECK_MS, Math.max(0, left));
+                if (most > 0 && p.plays && (!p.wish.moved() || now - p.takenAt > MOVE_GAP_MS)
                     && saves > MOVE_WORTH * moves.price() * credit * life) {
                     Host to = best(p, now, h);
-                    double need = score(h, now) + rate(p, p.rung) / middleKb;
-                    if (to != null && !to.suspect && score(to, now) > need) {
-                        most--;
+                    double need = score(h, 0, now) + p.kb(ladder, p.rung) / middleKb;
+                    if (to != null && !to.suspect && score(to, 0, now) > need && passes(most--, 1)) {
                         out.move(p.wish.play());
                         out.log("moved a play off " + h.id.value() + ": share " + h.share);
                     }
@@ -797,33 +817,4 @@
             }
         }
     }
-
-    private double left(Play p, double now) {
-        return p.wish.lengthMs() > 0 ? p.startedAt + p.wish.lengthMs() - now : life / 2;
-    }
-
-    /** Probes where they tell most: the host whose figure is oldest, suspects due for a trial first. */
-    private void probe(double now) {
-        if (!reports.mayProbe() || probeTokens < 1) {
-            return;
-        }
-        Host best = null;
-        double most = PROBE_STALE_MS;
-        for (Host h : hosts.values()) {
-            double stale = Math.min(PROBE_OLD_MS, now - Math.max(h.link.toldOf, h.probedAt)) + chance.next();
-            if (h.suspect) {
-                stale = now >= h.retryAt && now - h.probedAt > PROBE_AGAIN_MS ? Double.MAX_VALUE : 0;
-            }
-            if (h.ready() && !h.probeOut && stale > most) {
-                most = stale;
-                best = h;
-            }
-        }
-        if (best != null) {
-            probeTokens--;
-            best.probeOut = true;
-            best.probedAt = now;
-            out.probe(best.id);
-        }
-    }
 }
--- a/src/main/java/walnutfield/decide/Gauge.java
+++ b/src/main/java/walnutfield/decide/Gauge.java
@@ -8,6 +8,7 @@
     double own;
     double told = Double.NaN;
     double toldOf = Double.NEGATIVE_INFINITY;
+    boolean delivered; // told by a share that was delivered, not by a report
     double ownThen; // own load there, and everywhere, at that time
     double allThen;
     double cutAt = Double.NEGATIVE_INFINITY;
@@ -26,4 +27,20 @@
         }
         return kb;
     }
+
+    /** Newer beats older by the time that a figure speaks of. */
+    void tell(double use, boolean byShare, double of, Gauge all) {
+        if (of >= toldOf) {
+            told = use;
+            delivered = byShare;
+            toldOf = of;
+            ownThen = ownAt(of);
+            allThen = all.ownAt(of);
+        }
+    }
+
+    /** From 1 for a figure of now down to 0, by e in the time given; 0 for none. */
+    double weight(double fadeMs, double now) {
+        return Double.isNaN(told) ? 0 : Math.exp(-Math.max(0, now - toldOf) / fadeMs);
+    }
 }
--- a/src/main/java/walnutfield/decide/Host.java
+++ b/src/main/java/walnutfield/decide/Host.java
@@ -1,6 +1,8 @@
 package walnutfield.decide;
 
 import java.util.Arrays;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import walnutfield.play.HostId;
 import walnutfield.play.HostLine;
 
@@ -10,7 +12,7 @@
     final Rack rack;
     final Gauge link = new Gauge();
     HostLine line;
-    int mine;      // own plays there, set-ups included
+    final Set<Play> plays = new LinkedHashSet<>(); // own plays there, set-ups included; emptied as they end
     int legsOut;   // of these, still to be answered
     double streamsTold = Double.NaN;
     int streamsThen;
@@ -19,11 +21,12 @@
     double raisedAt = Double.NEGATIVE_INFINITY;
     private final double[] took = new double[16]; // latest answer times
     private int answers;
+    private double high; // their quantile as last asked for
+    private int highOf = -1;
     boolean suspect;
     boolean silent;
     double turnedAwayAt = Double.NEGATIVE_INFINITY;
     double retryAt;
-    double outFor;
     int goodInRow;
     double coldSince = Double.NEGATIVE_INFINITY;
     double unprovenSince = Double.NEGATIVE_INFINITY;
@@ -47,16 +50,21 @@
 
     void forgetAnswers() {
         answers = 0;
+        highOf = -1;
     }
 
-    /** A quantile of the latest answer times; 0 while fewer than three are known. */
+    /** A quantile of the latest answer times; 0 while none is known. It is kept until the next answer. */
     double quantile(double q) {
         int n = Math.min(answers, took.length);
-        if (n < 3) {
+        if (n == 0) {
             return 0;
         }
-        double[] sorted = Arrays.copyOf(took, n);
-        Arrays.sort(sorted);
-        return sorted[(int) Math.min(n - 1, Math.floor(q * n))];
+        if (highOf != answers) {
+            double[] sorted = Arrays.copyOf(took, n);
+            Arrays.sort(sorted);
+            high = sorted[(int) Math.min(n - 1, Math.floor(q * n))];
+            highOf = answers;
+        }
+        return high;
     }
 }
--- a/src/main/java/walnutfield/decide/Rack.java
+++ b/src/main/java/walnutfield/decide/Rack.java
@@ -7,4 +7,11 @@
 final class Rack {
     final Gauge uplink = new Gauge();
     final List<Host> hosts = new ArrayList<>();
+    double uplinkKb; // the told mean, by the links of its cells
+
+    List<Play> plays() {
+        List<Play> there = new ArrayList<>();
+        hosts.forEach(h -> there.addAll(h.plays));
+        return there;
+    }
 }
--- a/src/main/java/walnutfield/play/LinkTerms.java
+++ b/src/main/java/walnutfield/play/LinkTerms.java
@@ -11,4 +11,10 @@
  * @param sizeListed whether the list's units tell a host's size
  */
 public record LinkTerms(double allKb, double unitKb, double rackKb, int racks, int cells,
-                        boolean sizeListed) { }
+                        boolean sizeListed) {
+    /** Size of a host among its fellows. */
+    public double units(HostLine l) {
+        double u = sizeListed ? l.units() : l.slots();
+        return u > 0 ? u : 1;
+    }
+}
--- a/src/main/java/walnutfield/play/Wanted.java
+++ b/src/main/java/walnutfield/play/Wanted.java
@@ -1,5 +1,7 @@
 package walnutfield.play;
 
+import java.util.List;
+
 /**
  * A viewer's wish to play.
  *
@@ -13,4 +15,9 @@
  */
 public record Wanted(PlayId play, ViewerId viewer, TitleId title, CustomerId customer, Band band,
                      int firstCell, int holders, int bestRung, boolean moved,
-                     double lengthMs, double leftMs) { }
+                     double lengthMs, double leftMs) {
+    /** What seats are counted for: title and band. */
+    public List<Object> seat() {
+        return List.of(title, band.name());
+    }
+}
