--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -24,7 +24,6 @@
     private static final double MARK = 0.70;        // use up to which a new play gets its top rung
     private static final double STEP = 0.12;        // and one rung less for each such step above
     private static final double HIGH = 1.08;        // use from which playing plays are stepped down
-    private static final double HIGH_TOLD = 1.03;   // the same where a delivered share, less noisy, told it
     private static final double CUT_TO = 0.95;      // and to which
     private static final double RAISE_UNDER = 0.03; // plays are stepped up to so much under their mark
     private static final double RAISE_MOST = 0.92;  // and never where use would pass this
@@ -257,11 +256,11 @@
             return;
         }
         if (!Double.isNaN(load.link())) {
-            h.link.tell(load.link(), false, of, all);
+            h.link.tell(load.link(), of, all);
             fleet.heard.add(h);
         }
         if (!Double.isNaN(load.uplink())) {
-            h.rack.uplink.tell(load.uplink(), false, of, all);
+            h.rack.uplink.tell(load.uplink(), of, all);
         }
         if (!Double.isNaN(load.streams())) {
             h.streamsTold = load.streams();
@@ -288,7 +287,7 @@
         h.shareOf = of;
         if (share >= FULL_SHARE) {
             Stream.of(h.link, h.rack.uplink).filter(g -> g.told > 1)
-                .forEach(g -> g.tell(FULL_SHARE, true, of, all));
+                .forEach(g -> g.tell(FULL_SHARE, of, all));
             return;
         }
         double mine = 0, shortOnes = 0, sum = 0;
@@ -300,9 +299,9 @@
         }
         if (h.link.weight(FADE_MS, now) > SURE && h.link.told < ROOMY // its link's report denies it
             || shortOnes >= 2 && shortOnes * 2 >= mine) {
-            h.rack.uplink.tell(Math.min(USE_MOST, shortOnes / sum), true, of, all);
+            h.rack.uplink.tell(Math.min(USE_MOST, shortOnes / sum), of, all);
         } else {
-            h.link.tell(Math.min(USE_MOST, 1 / share), true, of, all);
+            h.link.tell(Math.min(USE_MOST, 1 / share), of, all);
         }
     }
 
@@ -731,7 +730,7 @@
     /** Steps playing plays down under pressure, least earned a kB first, by our part of what is over. */
     private void ease(Gauge g, Collection<Play> there, DoubleSupplier reckoned, double now) {
         double use = g.toldOf > g.cutAt ? reckoned.getAsDouble() : 0;
-        if (use <= (g.delivered ? HIGH_TOLD : HIGH)) {
+        if (use <= HIGH) {
             return;
         }
         g.cutAt = now;
@@ -769,12 +768,14 @@
         double size = size(h, now), use = linkUse(h, now), uplink = uplinkUse(h.rack, now), ours = 0;
         double part = Math.max(1.0 / post.gateways(), Math.min(1, h.link.own / Math.max(1, use * size)));
         for (Play p : lower) {
-            double kb = p.kb(ladder, p.rung + 1) - p.kb(ladder, p.rung);
-            double mark = Math.min(RAISE_MOST, mark(p, p.rung + 1) - RAISE_UNDER);
-            double room = Math.min((mark - use) * size, (mark - uplink) * h.rack.uplinkKb);
-            if (ours + kb <= room && passes(room * part - ours, kb)) { // fellows see the same room
-                ours += kb;
-                change(p, p.rung + 1, now);
+            for (int rung = ladder.top(p.wish), from = p.rung; rung > from && p.rung == from; rung--) {
+                double kb = p.kb(ladder, rung) - p.kb(ladder, from);
+                double mark = Math.min(RAISE_MOST, mark(p, rung) - RAISE_UNDER);
+                double room = Math.min((mark - use) * size, (mark - uplink) * h.rack.uplinkKb);
+                if (ours + kb <= room && passes(room * part - ours, kb)) { // fellows see the same room
+                    ours += kb;
+                    change(p, rung, now);
+                }
             }
         }
     }
--- a/src/main/java/walnutfield/decide/Gauge.java
+++ b/src/main/java/walnutfield/decide/Gauge.java
@@ -8,7 +8,6 @@
     double own;
     double told = Double.NaN;
     double toldOf = Double.NEGATIVE_INFINITY;
-    boolean delivered; // told by a share that was delivered, not by a report
     double ownThen; // own load there, and everywhere, at that time
     double allThen;
     double cutAt = Double.NEGATIVE_INFINITY;
@@ -29,10 +28,9 @@
     }
 
     /** Newer beats older by the time that a figure speaks of. */
-    void tell(double use, boolean byShare, double of, Gauge all) {
+    void tell(double use, double of, Gauge all) {
         if (of >= toldOf) {
             told = use;
-            delivered = byShare;
             toldOf = of;
             ownThen = ownAt(of);
             allThen = all.ownAt(of);
