--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -21,8 +21,8 @@
     private static final double RUNG_GAP_MS = 10_000; // design: a playing play changes rung once in this time
     private static final double MOVE_PACE = 0.1;    // part of own plays moved at one re-check
     private static final double MOVE_WORTH = 1.5;   // a move must save so many times its price
-    private static final double MARK = 0.70;        // use up to which a new play gets its top rung
-    private static final double STEP = 0.12;        // and one rung less for each such step above
+    private static final double MARK = 0.65;        // use up to which a new play gets its top rung
+    private static final double STEP = 0.14;        // and one rung less for each such step above
     private static final double HIGH = 1.08;        // use from which playing plays are stepped down
     private static final double CUT_TO = 0.95;      // and to which
     private static final double RAISE_UNDER = 0.03; // plays are stepped up to so much under their mark
@@ -36,7 +36,7 @@
     private static final double FULL_SHARE = 0.98;  // a delivered share above this is no shortage
     private static final double FEW = 10;           // own plays that tell as much of the fleet as a guess
     private static final double SPREAD = 0.3;       // use that an unheard host may have over the average
-    private static final double UNSURE = 0.15;      // and that a new play's rung allows for there
+    private static final double UNSURE = 0.30;      // and that a new play's rung allows for there
     private static final double PROBE_PRICE = 0.02; // one probe a play at this price, more where cheap
     private static final double PROBES_MOST = 2, PROBES_SAVED = 4; // a play earns, a gateway saves so many
     private static final double ASK_MS = 60;        // a play waits so long for a probe
@@ -741,8 +741,8 @@
             Play p = to.keySet().stream().filter(q -> to.get(q) > q.wish.band().floor())
                 .min(Comparator.comparing(q -> q.earnsAKb(ladder, to.get(q)))).orElse(null);
             double kb = p == null ? 0 : p.kb(ladder, to.get(p)) - p.kb(ladder, to.get(p) - 1);
-            if (p == null || !passes(need, kb)) {
-                break;
+            if (p == null || !passes(need * (1 + (CUT_TO - mark(p, to.get(p))) / (2 * STEP)), kb)) {
+                break; // a lone play gives the likelier the more of its rung is over its mark
             }
             need -= kb;
             to.merge(p, -1, Integer::sum);
@@ -766,7 +766,7 @@
             .filter(p -> p.rung < ladder.top(p.wish) && p.part == 1 && p.mayChange(now - RUNG_GAP_MS))
             .sorted(Comparator.comparing(p -> -p.earnsAKb(ladder, p.rung + 1))).toList();
         double size = size(h, now), use = linkUse(h, now), uplink = uplinkUse(h.rack, now), ours = 0;
-        double part = Math.max(1.0 / post.gateways(), Math.min(1, h.link.own / Math.max(1, use * size)));
+        double part = Math.max(1.0 / post.gateways(), h.plays.size() / streams(h, now));
         for (Play p : lower) {
             for (int rung = ladder.top(p.wish), from = p.rung; rung > from && p.rung == from; rung--) {
                 double kb = p.kb(ladder, rung) - p.kb(ladder, from);
