--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -25,20 +25,21 @@
     private static final double STEP = 0.14;        // and one rung less for each such step above
     private static final double HIGH = 1.08;        // use from which playing plays are stepped down
     private static final double CUT_TO = 0.95;      // and to which
-    private static final double RAISE_UNDER = 0.03; // plays are stepped up to so much under their mark
+    private static final double RAISE_UNDER = 0.10; // unsure, steps up stay so much under their mark
     private static final double RAISE_MOST = 0.92;  // and never where use would pass this
     private static final double RAISE_MS = 4_000;   // a host's plays are stepped up so often at most
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
-    private static final double FORGET_FADES = 6;   // after so many of these it tells nothing of the average
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
     private static final double SURE = 0.5, ROOMY = 0.95; // a link report of this weight and use denies it
     private static final double USE_MOST = 3;       // no share is taken for more use than this
     private static final double FULL_SHARE = 0.98;  // a delivered share above this is no shortage
+    private static final double HEARD_LEAST = 0.01; // a figure of less weight tells nothing of the average
+    private static final double SELF = 0.3;         // weight of what own plays tell of the average
     private static final double FEW = 10;           // own plays that tell as much of the fleet as a guess
     private static final double SPREAD = 0.3;       // use that an unheard host may have over the average
     private static final double UNSURE = 0.30;      // and that a new play's rung allows for there
-    private static final double PROBE_PRICE = 0.02; // one probe a play at this price, more where cheap
-    private static final double PROBES_MOST = 2, PROBES_SAVED = 4; // a play earns, a gateway saves so many
+    private static final double PROBE_PRICE = 0.02; // a play earns a probe at this price, more where cheaper
+    private static final double PROBES_SAVED = 4;   // and a gateway saves so many
     private static final double ASK_MS = 60;        // a play waits so long for a probe
     private static final double PROBE_STALE_MS = 1_500; // no host is probed whose figure is younger
     private static final double STOOD_MS = 250;     // we stood still if not even a look came for so long
@@ -90,7 +91,6 @@
     private double seenAt = Double.NaN, stoodFrom, stoodTo = Double.NEGATIVE_INFINITY; // when we stood still
     private double averageUse, averageOwn, averageAt = Double.NEGATIVE_INFINITY;
     private double fellows = Double.POSITIVE_INFINITY; // the fellows' usual quantile of answer times
-    private boolean answersNew;
     private double nextRecheck, probeTokens, askAgainAt = Double.POSITIVE_INFINITY;
     private double life = LIFE_MS, credit = 1; // usual length and credit of a play
 
@@ -145,10 +145,7 @@
     public void listChanged(double now, List<HostLine> lines) {
         turn(now);
         lines.forEach(l -> take(l, now));
-        double sum = 0;
-        for (Host h : fleet.all()) {
-            sum += h.ready() ? links.units(h.line) : 0;
-        }
+        double sum = fleet.all().stream().filter(Host::ready).mapToDouble(h -> links.units(h.line)).sum();
         if (kbAUnit == 0 && sum > 0) { // told as of the start; uplinks are shared out by their links
             kbAUnit = links.allKb() > 0 ? links.allKb() / sum : Math.max(links.unitKb(), middleKb);
             double aUnit = rackKb * Math.max(1, links.racks()) / sum;
@@ -160,8 +157,8 @@
     }
 
     public void listLost(double now) {
-        out.log("list lost: going by the last one, " + fleet.all().size() + " hosts");
         askAgainAt = now + SUSPECT_MS;
+        out.log("list lost: going by the last one, " + fleet.all().size() + " hosts");
     }
 
     private void take(HostLine l, double now) {
@@ -171,6 +168,7 @@
                 return;
             }
             h = fleet.add(l);
+            h.raisedAt = now; // its first figures may still leave out the plays that it began with
         } else if (l.launched() > h.line.launched()) { // it came back: what was known of it is void
             h.forgetAnswers();
             h.suspect = h.silent = false;
@@ -178,6 +176,7 @@
         h.line = l;
         if (l.launched() > 0 && now - l.launched() < cold.warmMs()) {
             h.coldSince = l.launched();
+            h.link.tell(0, l.launched(), all); // it has just started and carries nothing
         }
         fleet.drop(h);
     }
@@ -199,7 +198,7 @@
 
     /** By what part the fellows' load grew: as ours did, in so far as ours is more than a few plays. */
     private double grown(double since) {
-        double few = (post.gateways() - 1) / 2.0 * middleKb;
+        double few = (post.gateways() - 1) * middleKb / 2;
         return (all.own - since) / Math.max(1, Math.max(all.own, since) + few);
     }
 
@@ -216,27 +215,22 @@
     private double guess(Host h, double now) {
         if (now - averageAt >= LOOK_MS) {
             averageAt = now;
-            average(now);
+            fleet.heard.removeIf(f -> f.link.weight(FADE_MS, now) < HEARD_LEAST);
+            double sure = post.gateways() == 1 ? 1 : plays.size() / (plays.size() + FEW);
+            double weight = SELF; // exception: own plays stand for fellows' too, the fewer the less
+            double sum = SELF * (sure * post.gateways() * all.own / sumSize + (1 - sure) * MARK);
+            for (Host f : fleet.heard) {
+                double w = f.ready() && !f.silent ? f.link.weight(FADE_MS, now) : 0;
+                weight += w;
+                sum += w * use(f.link, size(f, now), 0, now);
+            }
+            averageUse = sum / weight;
+            averageOwn = all.own;
         }
         double own = h.link.own / size(h, now);
         return Math.max(own, averageUse * (1 + grown(averageOwn)) + own - all.own / sumSize);
     }
 
-    private void average(double now) {
-        fleet.heard.removeIf(h -> now - h.link.toldOf > FORGET_FADES * FADE_MS);
-        double sure = post.gateways() == 1 ? 1 : plays.size() / (plays.size() + FEW);
-        double weight = 1; // exception: own plays stand for fellows' too, the fewer the less
-        double sum = sure * post.gateways() * all.own / sumSize + (1 - sure) * MARK;
-        for (Host h : fleet.heard) {
-            if (h.ready() && !h.silent) {
-                weight += h.link.weight(FADE_MS, now);
-                sum += h.link.weight(FADE_MS, now) * use(h.link, size(h, now), 0, now);
-            }
-        }
-        averageUse = sum / weight;
-        averageOwn = all.own;
-    }
-
     /** A rack's uplink, guessed from its hosts' links; where none is told it is never the narrower one. */
     private double uplinkUse(Rack r, double now) {
         double sum = r.hosts.stream().mapToDouble(h -> h.silent ? 0 : linkUse(h, now) * size(h, now)).sum();
@@ -290,6 +284,7 @@
                 .forEach(g -> g.tell(FULL_SHARE, of, all));
             return;
         }
+        h.shortOf = of;
         double mine = 0, shortOnes = 0, sum = 0;
         for (Host f : h.rack.hosts) {
             boolean isShort = f.share < FULL_SHARE && of - f.shareOf < TOGETHER_MS;
@@ -315,11 +310,15 @@
         takes.add(now);
         lately.add(now);
         credit += CREDIT_LEARN * (wish.band().credit() - credit);
-        probeTokens = Math.min(PROBES_SAVED,
-            probeTokens + Math.min(PROBES_MOST, PROBE_PRICE * unsure() / reports.probePrice()));
+        earnProbes();
         run(p, now);
     }
 
+    private void earnProbes() {
+        double earned = PROBE_PRICE * unsure() / Math.max(1e-9, reports.probePrice());
+        probeTokens = Math.min(PROBES_SAVED, probeTokens + earned);
+    }
+
     /** A play that was under way at the start. */
     public void playing(double now, Wanted wish, HostId id) {
         Host h = fleet.get(id);
@@ -333,6 +332,7 @@
         p.legs = 1;
         h.unprovenSince = Double.NEGATIVE_INFINITY;
         plays.put(wish.play(), p);
+        earnProbes();
         load(p, now);
     }
 
@@ -376,7 +376,7 @@
             p.host.legsOut--;
             if (now > stoodTo) { // else we waited, not the host
                 p.host.answered(took);
-                answersNew = true;
+                fellows = fleet.median(QUANTILE, FELLOWS_LEAST);
             }
             good(p.host, now);
         }
@@ -410,9 +410,9 @@
         held.remove(id);
         if (p != null && p.legOut) {
             p.answered = true; // its leg is still to come in
-        } else {
-            plays.remove(id);
+            return;
         }
+        plays.remove(id);
     }
 
     private void load(Play p, double now) {
@@ -455,7 +455,7 @@
         public Verdict pass(Play p, double now) {
             boolean waits = p.asked != null && p.asked.probeOut && now - p.asked.probedAt < ASK_MS;
             p.host = waits ? null : best(p, now, null);
-            if (p.host != null && !asks(p, now)) {
+            if (p.host != null && !asks(p.asked = p.host, now)) {
                 held.remove(p.wish.play());
                 return Verdict.PASS;
             }
@@ -480,13 +480,11 @@
 
     /** Exception: where probes are allowed, the best holder is asked if its figure is old, and the choice
      *  is made again. Guards against hosts little known or away; it harms where answers are slow. */
-    private boolean asks(Play p, double now) {
-        Host h = p.host;
+    private boolean asks(Host h, double now) {
         if (!reports.mayProbe() || probeTokens < 1 || h.probeOut
             || now - Math.max(h.link.toldOf, h.probedAt) < PROBE_STALE_MS) {
             return false;
         }
-        p.asked = h;
         probeTokens--;
         h.probeOut = true;
         h.probedAt = now;
@@ -709,10 +707,6 @@
 
     /** The house way: a host is judged by a high quantile of its answer times against its fellows'. */
     private void compare(double now) {
-        if (answersNew) {
-            answersNew = false;
-            fellows = fleet.median(QUANTILE, FELLOWS_LEAST);
-        }
         double slow = Math.max(SLOW_LEAST_MS, SLOW_TIMES * fellows);
         for (Host h : fleet.busy.values()) {
             double worst = h.quantile(QUANTILE);
@@ -722,7 +716,7 @@
             if (!h.suspect && h.ready() && worst > slow) {
                 doubt(h, false, "slow, " + worst + " ms against " + fellows, now);
                 h.forgetAnswers();
-                answersNew = true;
+                fellows = fleet.median(QUANTILE, FELLOWS_LEAST);
             }
         }
     }
@@ -758,19 +752,22 @@
 
     /** Steps playing plays up where there is room, most earned a kB first, by our part of the room. */
     private void raise(Host h, double now) {
-        if (now - h.raisedAt < RAISE_MS || h.suspect) {
+        if (now - h.raisedAt < RAISE_MS || now - h.shortOf < RUNG_GAP_MS || h.suspect) {
             return;
         }
-        h.raisedAt = now;
         List<Play> lower = h.plays.stream()
             .filter(p -> p.rung < ladder.top(p.wish) && p.part == 1 && p.mayChange(now - RUNG_GAP_MS))
             .sorted(Comparator.comparing(p -> -p.earnsAKb(ladder, p.rung + 1))).toList();
+        if (lower.isEmpty() || h.probeOut || asks(h, now)) {
+            return;
+        }
+        h.raisedAt = now;
         double size = size(h, now), use = linkUse(h, now), uplink = uplinkUse(h.rack, now), ours = 0;
         double part = Math.max(1.0 / post.gateways(), h.plays.size() / streams(h, now));
         for (Play p : lower) {
             for (int rung = ladder.top(p.wish), from = p.rung; rung > from && p.rung == from; rung--) {
                 double kb = p.kb(ladder, rung) - p.kb(ladder, from);
-                double mark = Math.min(RAISE_MOST, mark(p, rung) - RAISE_UNDER);
+                double mark = Math.min(RAISE_MOST, mark(p, rung) - RAISE_UNDER * unsure());
                 double room = Math.min((mark - use) * size, (mark - uplink) * h.rack.uplinkKb);
                 if (ours + kb <= room && passes(room * part - ours, kb)) { // fellows see the same room
                     ours += kb;
--- a/src/main/java/walnutfield/decide/Host.java
+++ b/src/main/java/walnutfield/decide/Host.java
@@ -18,6 +18,7 @@
     int streamsThen;
     double share = 1;
     double shareOf = Double.NEGATIVE_INFINITY;
+    double shortOf = Double.NEGATIVE_INFINITY; // when it last delivered short
     double raisedAt = Double.NEGATIVE_INFINITY;
     private final double[] took = new double[16]; // latest answer times
     private int answers;
