--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -198,8 +198,7 @@
 
     /** By what part the fellows' load grew: as ours did, in so far as ours is more than a few plays. */
     private double grown(double since) {
-        double few = (post.gateways() - 1) * middleKb / 2;
-        return (all.own - since) / Math.max(1, Math.max(all.own, since) + few);
+        return (all.own - since) / Math.max(1, since + Math.min(FEW, (post.gateways() - 1) / 2.0) * middleKb);
     }
 
     /** From 1 down to 0: how little this gateway can tell of hosts by its own plays there. */
