No play is let in where even its lowest rung is too much

Own growth is damped by ten plays at any size: undamped at few gateways, one play after none doubled the guess. Guards against crowds and links that give less, whatever the cause; harms where use is reckoned too high.

--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -25,6 +25,7 @@
     private static final double STEP = 0.14;        // and one rung less for each such step above
     private static final double HIGH = 1.08;        // use from which playing plays are stepped down
     private static final double CUT_TO = 0.95;      // and to which
+    private static final double FULL = 1.00;        // use over which no play is let in, at the lowest rung even
     private static final double RAISE_UNDER = 0.10; // unsure, steps up stay so much under their mark
     private static final double RAISE_MOST = 0.92;  // and never where use would pass this
     private static final double RAISE_MS = 4_000;   // a host's plays are stepped up so often at most
@@ -198,7 +199,7 @@
 
     /** By what part the fellows' load grew: as ours did, in so far as ours is more than a few plays. */
     private double grown(double since) {
-        return (all.own - since) / Math.max(1, since + Math.min(FEW, (post.gateways() - 1) / 2.0) * middleKb);
+        return (all.own - since) / (since + FEW * middleKb);
     }
 
     /** From 1 down to 0: how little this gateway can tell of hosts by its own plays there. */
@@ -544,20 +545,23 @@
         return Math.max(since + turn, h.lastSent + gap);
     }
 
-    /** Quality: the top rung while the chosen host shows room, one lower per step of use above the mark. */
+    /** Quality: the top rung while the chosen host shows room, one lower per step of use above the mark. Exception:
+     *  no play is let in where even its lowest rung passes what link or uplink gives; that guards against crowds
+     *  and links that give less, when each play more takes from all; it harms where use is reckoned too high. */
     private final class Quality implements Stage {
         @Override
         public Verdict pass(Play p, double now) {
             double size = size(p.host, now), uplinkKb = p.host.rack.uplinkKb;
-            double use = linkUse(p.host, now) + UNSURE * unsure() * (1 - p.host.link.weight(FADE_MS, now));
-            double uplink = uplinkUse(p.host.rack, now);
-            int rung = p.part < 1 ? p.wish.band().floor() : ladder.top(p.wish);
-            while (rung > p.wish.band().floor() && Math.max(use + p.kb(ladder, rung) / size,
-                uplink + p.kb(ladder, rung) / uplinkKb) > mark(p, rung)) {
-                rung--;
+            double use = linkUse(p.host, now), uplink = uplinkUse(p.host.rack, now);
+            double unsure = UNSURE * unsure() * (1 - p.host.link.weight(FADE_MS, now));
+            int floor = p.wish.band().floor();
+            p.rung = p.part < 1 ? floor : ladder.top(p.wish);
+            while (p.rung > floor && Math.max(use + unsure + p.kb(ladder, p.rung) / size,
+                uplink + p.kb(ladder, p.rung) / uplinkKb) > mark(p, p.rung)) {
+                p.rung--;
             }
-            p.rung = rung;
-            return Verdict.PASS;
+            double kb = p.kb(ladder, floor);
+            return Math.max(use + kb / size, uplink + kb / uplinkKb) > FULL ? Verdict.END : Verdict.PASS;
         }
     }
 
