--- a/src/test/java/walnutfield/DirectorTest.java
+++ b/src/test/java/walnutfield/DirectorTest.java
@@ -395,6 +395,41 @@
         assertEquals(1 - first, b.sentTo(p), b.out.toString());
     }
 
+    @Test
+    void aHostOfOwnPlaysIsProbedBeforeAStepUp() {
+        Bench b = Bench.amongMany(5, 0, true);
+        b.underWay(FREE, 0, 0);
+        b.underWay(FREE, 0, 0);
+        b.pass(4_000);
+        assertEquals(1, b.count("probe h0"));
+        assertEquals(0, b.count("rung"), "decided on a fresh figure only");
+        b.director.probed(b.now, Bench.host(0), Outcome.SERVED, 5, new Load(0.05, Double.NaN, Double.NaN));
+        b.pass(200);
+        assertTrue(b.count("rung") > 0);
+    }
+
+    @Test
+    void aNewPlayTakesALowerRungWhereItsHostIsUnheard() {
+        Bench heard = Bench.amongMany(5, 0, false);
+        heard.links(0.35, 0.35, 0.35, 0.35, 0.35, 0.35);
+        PlayId p = heard.want(FREE, 0, 1, 4000);
+        assertEquals(1, heard.count("rung " + p.value() + " 3"), heard.out.toString());
+        Bench unheard = Bench.amongMany(5, 0, false);
+        unheard.links(Double.NaN, 0.35, 0.35, 0.35, 0.35, 0.35);
+        PlayId q = unheard.want(FREE, 0, 1, 4000);
+        assertEquals(1, unheard.count("rung " + q.value() + " 2"), unheard.out.toString());
+    }
+
+    @Test
+    void aSuspectNothingWasHeardOfIsForgotten() { // else a gateway with few plays would never send it a paid one
+        Bench b = Bench.plain();
+        b.end(b.want(FREE, 0, 1, 4000), 0, 0, Outcome.FAILED, false);
+        b.pass(18_900);
+        assertEquals(-1, b.sentTo(b.want(PAID, 0, 1, 4000)));
+        b.pass(200);
+        assertEquals(0, b.sentTo(b.want(PAID, 0, 1, 4000)));
+    }
+
     @Test
     void probesKeepToWhatPlaysEarn() { // two a play among many, four saved at most
         Bench b = Bench.amongMany(5, 0, true);
