--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -25,7 +25,7 @@
     private static final double STEP = 0.14;        // and one rung less for each such step above
     private static final double HIGH = 1.08;        // use from which playing plays are stepped down
     private static final double CUT_TO = 0.95;      // and to which
-    private static final double FULL = 1.00;        // use over which no play is let in, at the lowest rung even
+    private static final double FULL = 1.00;        // use over which no play is let in at any rung
     private static final double RAISE_UNDER = 0.10; // unsure, steps up stay so much under their mark
     private static final double RAISE_MOST = 0.92;  // and never where use would pass this
     private static final double RAISE_MS = 4_000;   // a host's plays are stepped up so often at most
@@ -88,7 +88,7 @@
     private final List<Stage> chain = List.of(new Terms(), new Placing(), new Quality(), new Sending());
     private final Chance chance;
     private final Gauge all = new Gauge(); // own load everywhere
-    private double kbAUnit, sumSize = 1; // told links
+    private double kbAUnit, sumUnits, sumSize = 1; // told links
     private double seenAt = Double.NaN, stoodFrom, stoodTo = Double.NEGATIVE_INFINITY; // when we stood still
     private double averageUse, averageOwn, averageAt = Double.NEGATIVE_INFINITY;
     private double fellows = Double.POSITIVE_INFINITY; // the fellows' usual quantile of answer times
@@ -146,14 +146,13 @@
     public void listChanged(double now, List<HostLine> lines) {
         turn(now);
         lines.forEach(l -> take(l, now));
-        double sum = fleet.all().stream().filter(Host::ready).mapToDouble(h -> links.units(h.line)).sum();
-        if (kbAUnit == 0 && sum > 0) { // told as of the start; uplinks are shared out by their links
-            kbAUnit = links.allKb() > 0 ? links.allKb() / sum : Math.max(links.unitKb(), middleKb);
-            double aUnit = rackKb * Math.max(1, links.racks()) / sum;
+        if (kbAUnit == 0 && sumUnits > 0) { // told as of the start; uplinks are shared out by their links
+            kbAUnit = links.allKb() > 0 ? links.allKb() / sumUnits : Math.max(links.unitKb(), middleKb);
+            double aUnit = rackKb * Math.max(1, links.racks()) / sumUnits;
             fleet.all().forEach(h -> h.rack.uplinkKb += h.ready() ? aUnit * links.units(h.line) : 0);
         }
-        fleet.all().forEach(h -> h.rack.uplinkKb = h.rack.uplinkKb > 0 ? h.rack.uplinkKb : rackKb);
-        sumSize = Math.max(1, sum * kbAUnit);
+        lines.forEach(l -> fleet.rack(l.cell()).fill(rackKb)); // a rack that had no host at the start
+        sumSize = Math.max(1, sumUnits * kbAUnit);
         averageAt = Double.NEGATIVE_INFINITY;
     }
 
@@ -164,6 +163,7 @@
 
     private void take(HostLine l, double now) {
         Host h = fleet.get(l.host());
+        sumUnits -= h != null && h.ready() ? links.units(h.line) : 0;
         if (h == null) {
             if (l.standing() == HostLine.Standing.GONE) {
                 return;
@@ -175,6 +175,7 @@
             h.suspect = h.silent = false;
         }
         h.line = l;
+        sumUnits += h.ready() ? links.units(l) : 0;
         if (l.launched() > 0 && now - l.launched() < cold.warmMs()) {
             h.coldSince = l.launched();
             h.link.tell(0, l.launched(), all); // it has just started and carries nothing
@@ -545,9 +546,9 @@
         return Math.max(since + turn, h.lastSent + gap);
     }
 
-    /** Quality: the top rung while the chosen host shows room, one lower per step of use above the mark. Exception:
-     *  no play is let in where even its lowest rung passes what link or uplink gives; that guards against crowds
-     *  and links that give less, when each play more takes from all; it harms where use is reckoned too high. */
+    /** Quality: the top rung while the chosen host shows room, one lower per step of use above the mark.
+     *  Exception: no play is let in where its lowest rung passes what link or uplink gives. Guards against
+     *  crowds and weak links, where each play more takes from all; harms where use is reckoned too high. */
     private final class Quality implements Stage {
         @Override
         public Verdict pass(Play p, double now) {
--- a/src/main/java/walnutfield/decide/Rack.java
+++ b/src/main/java/walnutfield/decide/Rack.java
@@ -9,6 +9,10 @@
     final List<Host> hosts = new ArrayList<>();
     double uplinkKb; // the told mean, by the links of its cells
 
+    void fill(double kb) {
+        uplinkKb = uplinkKb > 0 ? uplinkKb : kb;
+    }
+
     List<Play> plays() {
         List<Play> there = new ArrayList<>();
         hosts.forEach(h -> there.addAll(h.plays));
