A good probe clears no suspect; tests for lost answers and waves of drains

Cause: hosts whose answers are lost answer probes all the same, and two probes cleared them. Now only answers to set-ups, a restart or 15 s without news do. It also guards against hosts that hang with their probes answered; it harms where a host that was away is back and takes plays later.

--- a/src/main/java/walnutfield/decide/Director.java
+++ b/src/main/java/walnutfield/decide/Director.java
@@ -654,10 +654,7 @@
         }
         h.probeOut = false;
         if (how == Outcome.SERVED) {
-            heard(id, load, from(now) - LOOK_MS);
-            if (h.suspect && h.silent) {
-                good(h, now);
-            }
+            heard(id, load, from(now) - LOOK_MS); // no proof that set-ups work: answers may be lost, probes not
         } else if (how != Outcome.TIMED_OUT && how != Outcome.UNREACHABLE && how != Outcome.BROKEN_OFF) {
             return;
         } else if (now > stoodTo) {
--- a/src/test/java/walnutfield/DirectorTest.java
+++ b/src/test/java/walnutfield/DirectorTest.java
@@ -430,6 +430,33 @@
         assertEquals(0, b.sentTo(b.want(PAID, 0, 1, 4000)));
     }
 
+    @Test
+    void aGoodProbeIsNoProofThatSetUpsWork() { // the work runs, its answer is lost
+        Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 0, true);
+        b.end(b.want(FREE, 0, 1, 4000), 0, 0, Outcome.TIMED_OUT, false);
+        for (int i = 0; i < 3; i++) {
+            b.director.probed(b.now, Bench.host(0), Outcome.SERVED, 5, new Load(0.1, Double.NaN, Double.NaN));
+        }
+        assertEquals(-1, b.sentTo(b.want(PAID, 0, 1, 4000)));
+    }
+
+    @Test
+    void wavesOfDrainsLeaveWhatIsNotListedSo() { // and come back only as a cold host of the next list
+        Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 12_000, false);
+        b.pass(13_000);
+        for (int i = 0; i < 2; i++) {
+            b.director.listChanged(b.now, List.of(Bench.line(i, HostLine.Standing.DRAINING, 0)));
+            PlayId p = b.want(FREE, 0, 3, 4000);
+            assertTrue(b.sentTo(p) > i, b.out.toString());
+        }
+        b.director.listChanged(b.now, List.of(Bench.line(0, HostLine.Standing.READY, b.now)));
+        int burst = 0;
+        for (int i = 0; i < 20; i++) {
+            burst += b.sentTo(b.want(FREE, 0, 1, 300)) == 0 ? 1 : 0;
+        }
+        assertTrue(burst <= 1, "sent to a cold replacement at once: " + burst);
+    }
+
     @Test
     void probesKeepToWhatPlaysEarn() { // two a play among many, four saved at most
         Bench b = Bench.amongMany(5, 0, true);
