--- a/src/main/java/walnutfield/decide/Fleet.java
+++ b/src/main/java/walnutfield/decide/Fleet.java
@@ -6,7 +6,7 @@
 
 /** State: the hosts that are listed or have own plays, by name, by cell and by rack. */
 final class Fleet {
-    final Map<String, Host> hosts = new TreeMap<>(); // emptied as hosts leave the list
+    private final Map<String, Host> hosts = new TreeMap<>(); // emptied as hosts leave the list
     final Map<String, Host> busy = new TreeMap<>(); // with own plays; emptied as they end
     final Set<Host> heard = new LinkedHashSet<>(); // with a figure; emptied as figures fade
     private final Map<Integer, Rack> racks = new TreeMap<>(); // one for each rack
