--- a/src/main/java/walnutfield/bench/Adapter.java
+++ b/bench/src/main/java/walnutfield/bench/Adapter.java
@@ -17,7 +17,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import walnutfield.decide.Director;
+import walnutfield.desk.Call;
+import walnutfield.desk.Desk;
 import walnutfield.play.Band;
 import walnutfield.play.CustomerId;
 import walnutfield.play.HostId;
@@ -30,7 +31,7 @@
 import walnutfield.play.ViewerId;
 import walnutfield.play.Wanted;
 
-/** Speaks the bench's wire: decodes lines into calls of each instance's Director, and encodes its results. */
+/** Speaks the bench's wire: decodes lines into calls of each instance's desk, and encodes its results. */
 public final class Adapter {
     private static final Map<String, Outcome> OUTCOMES = Map.of("GOOD", Outcome.SERVED, "BAD", Outcome.FAILED,
         "FULL", Outcome.TURNED_AWAY, "LATE", Outcome.TIMED_OUT, "NOCONN", Outcome.UNREACHABLE,
@@ -39,7 +40,7 @@
         "Terminating", HostLine.Standing.DRAINING, "Gone", HostLine.Standing.GONE);
 
     /** An instance, from its start until it is killed. */
-    private record Instance(Settings settings, Director director) { }
+    private record Instance(Settings settings, Desk desk) { }
 
     private final ObjectMapper json = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     private final Map<Integer, Instance> instances = new HashMap<>();
@@ -123,7 +124,7 @@
             }
             Settings settings = new Settings(all);
             guarded(number, () ->
-                instances.put(number, new Instance(settings, settings.director(seed, new Replies(out, number)))));
+                instances.put(number, new Instance(settings, settings.desk(seed, new Replies(out, number)))));
             return;
         }
         Instance to = instances.get(number);
@@ -136,7 +137,7 @@
 
     /** Decodes an event at once and gives back the call that it stands for. */
     private Runnable call(String name, Fields f, int number, Instance to) {
-        Director d = to.director;
+        Desk d = to.desk;
         double t = now;
         switch (name) {
             case "shutdown":
@@ -156,7 +157,7 @@
                 double left = f.numberOr(band.hardStopMs());
                 Wanted w = new Wanted(play, viewer, new TitleId(wholeOr(f)), customer(customer), band, first,
                     holders, best, (marks & 8) != 0, length, left);
-                return () -> d.wanted(t, w);
+                return () -> d.take(t, new Call.WishTaken(w));
             }
             case "preexisting": {
                 PlayId play = new PlayId(f.whole());
@@ -172,7 +173,7 @@
                 String customer = f.textOrNone();
                 Wanted w = new Wanted(play, viewer, title, customer(customer), band, first, holders, best,
                     (marks & 8) != 0, length, f.numberOr(band.hardStopMs()));
-                return () -> d.playing(t, w, host);
+                return () -> d.take(t, new Call.UnderWay(w, host));
             }
             case "interim": {
                 PlayId play = new PlayId(f.whole());
@@ -181,10 +182,10 @@
                 f.any();
                 double amount = f.number();
                 switch (kind) {
-                    case 1: return () -> d.shareTold(t, host, amount);
-                    case 2: return () -> d.rungTold(t, play, (int) amount);
-                    case 3: return () -> d.loadTold(t, host, new Load(amount, Double.NaN, Double.NaN));
-                    case 4: return () -> d.loadTold(t, host, new Load(Double.NaN, amount, Double.NaN));
+                    case 1: return () -> d.take(t, new Call.ShareTold(host, amount));
+                    case 2: return () -> d.take(t, new Call.RungTold(play, (int) amount));
+                    case 3: return () -> d.take(t, new Call.LoadTold(host, new Load(amount, Double.NaN, Double.NaN)));
+                    case 4: return () -> d.take(t, new Call.LoadTold(host, new Load(Double.NaN, amount, Double.NaN)));
                     default: return () -> { };
                 }
             }
@@ -193,7 +194,7 @@
                 double took = f.number();
                 int leg = f.small();
                 HostId host = new HostId(f.text());
-                return () -> d.started(t, play, leg, host, took);
+                return () -> d.take(t, new Call.Started(play, leg, host, took));
             }
             case "finished": {
                 PlayId play = new PlayId(f.whole());
@@ -203,22 +204,22 @@
                 int leg = f.small();
                 double took = f.numberOr(0);
                 Load load = load(f.any(), to.settings.columns);
-                return () -> d.ended(t, play, leg, host, how, over, took, load);
+                return () -> d.take(t, new Call.Ended(play, leg, host, how, over, took, load));
             }
             case "timedOutClient": {
                 PlayId play = new PlayId(f.whole());
-                return () -> d.gaveUp(t, play);
+                return () -> d.take(t, new Call.GaveUp(play));
             }
             case "probeDone": {
                 HostId host = new HostId(f.text());
                 Outcome how = outcome(f);
                 double took = f.numberOr(0);
                 Load load = load(f.any(), to.settings.columns);
-                return () -> d.probed(t, host, how, took, load);
+                return () -> d.take(t, new Call.Probed(host, how, took, load));
             }
             case "timer": {
                 String mark = f.text();
-                return () -> d.woke(t, mark);
+                return () -> d.take(t, new Call.Woke(mark));
             }
             case "message":
                 return () -> { };
@@ -227,12 +228,12 @@
         }
     }
 
-    private Runnable list(Fields f, Director d, Settings settings) {
+    private Runnable list(Fields f, Desk d, Settings settings) {
         double t = now;
         String kind = f.text();
         f.any();
         if (kind.equals("lost")) {
-            return () -> d.listLost(t);
+            return () -> d.take(t, new Call.ListLost());
         }
         int number = f.small();
         JsonNode sheet = sheets.get(number);
@@ -256,9 +257,9 @@
                 e.numberOr(1), e.numberOr(0)));
         }
         switch (kind) {
-            case "incr": return () -> d.listChanged(t, lines);
-            case "total": return () -> d.listWhole(t, lines);
-            case "warm_copy": return () -> d.listRemembered(t, lines);
+            case "incr": return () -> d.take(t, new Call.ListChanged(lines));
+            case "total": return () -> d.take(t, new Call.ListWhole(lines));
+            case "warm_copy": return () -> d.take(t, new Call.ListRemembered(lines));
             default: throw new MalformedLine("unknown kind of list '" + kind + "'");
         }
     }
--- a/src/main/java/walnutfield/bench/Settings.java
+++ b/bench/src/main/java/walnutfield/bench/Settings.java
@@ -6,7 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import walnutfield.decide.Director;
+import walnutfield.desk.Desk;
 import walnutfield.play.Band;
 import walnutfield.play.ColdTerms;
 import walnutfield.play.CustomerId;
@@ -59,7 +59,7 @@
         return out;
     }
 
-    Director director(long seed, Gateway out) {
+    Desk desk(long seed, Gateway out) {
         JsonNode fam = all.path("familyInfo");
         JsonNode limits = all.path("limits");
         JsonNode rules = all.path("rules");
@@ -72,7 +72,7 @@
                 a.path("allowancePerS").asDouble(), all.path("overShareWorth").asDouble(1)));
         }
         JsonNode ration = rules.path("ratioSpan").asDouble() > 0 ? rules : MissingNode.getInstance();
-        return new Director(
+        return new Desk(
             new Post(seed, all.path("me").asInt(), Math.max(1, all.path("balancers").asInt(1)),
                 new PlaceId(all.path("zone").asText())),
             new Ladder(row(fam.path("levelKb")), row(fam.path("worthByRung")),
@@ -89,6 +89,6 @@
                 fees.path("probe").asDouble(),
                 fam.path("toldLate").asDouble(), all.path("discovery").asText().equals("ask")),
             new MoveTerms(fees.path("moves").asDouble()),
-            shares, out);
+            shares, out, null);
     }
 }
--- /dev/null
+++ b/bench/src/main/java/walnutfield/bench/package-info.java
@@ -0,0 +1,2 @@
+/** The adapter to the bench's wire: lines into calls of a desk, results into lines. */
+package walnutfield.bench;
--- /dev/null
+++ b/core/src/main/java/walnutfield/play/package-info.java
@@ -0,0 +1,2 @@
+/** The words of the domain: plays, hosts, bands, their ids and terms, and {@link walnutfield.play.Gateway}. */
+package walnutfield.play;
