--- /dev/null
+++ b/gateway/src/main/java/walnutfield/gateway/DeskThread.java
@@ -0,0 +1,111 @@
+package walnutfield.gateway;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import walnutfield.net.Clock;
+
+/**
+ * The one thread that owns a gateway's desk and its sessions. Others post to it. Wishes and figures are refused
+ * where too much waits; what becomes of legs never is, as there is at most so much of it as there are legs.
+ */
+final class DeskThread {
+    private static final Logger LOG = LoggerFactory.getLogger(DeskThread.class);
+    private static final long IDLE_MS = 1000;
+
+    private record Timer(double at, long order, Runnable what) { }
+
+    private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
+    private final AtomicInteger refusable = new AtomicInteger();
+    private final PriorityQueue<Timer> timers =
+        new PriorityQueue<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::order));
+    private final int most;
+    private final Thread thread;
+    private long order;
+    private double now = Clock.now();
+    private volatile boolean stopped;
+
+    /**
+     * @param most wishes and figures that may wait
+     */
+    DeskThread(String name, int most) {
+        this.most = most;
+        thread = new Thread(this::run, name);
+        thread.setDaemon(true);
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    /** For what must not be lost. */
+    void post(Runnable what) {
+        queue.add(what);
+    }
+
+    /** For what may be refused; false where it was. */
+    boolean offer(Runnable what) {
+        if (refusable.incrementAndGet() > most) {
+            refusable.decrementAndGet();
+            return false;
+        }
+        queue.add(() -> {
+            refusable.decrementAndGet();
+            what.run();
+        });
+        return true;
+    }
+
+    /** On this thread only: runs it at that time. */
+    void at(double time, Runnable what) {
+        timers.add(new Timer(time, order++, what));
+    }
+
+    /** The time at which the present event was taken from the queue. */
+    double now() {
+        return now;
+    }
+
+    int waiting() {
+        return queue.size();
+    }
+
+    void stop() {
+        stopped = true;
+        thread.interrupt();
+    }
+
+    private void run() {
+        while (!stopped) {
+            Timer first = timers.peek();
+            double wait = first == null ? IDLE_MS : Math.min(IDLE_MS, first.at() - Clock.now());
+            Runnable next;
+            try {
+                next = queue.poll((long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
+            } catch (InterruptedException e) {
+                return;
+            }
+            if (next != null) {
+                now = Clock.now();
+                guarded(next);
+            }
+            for (first = timers.peek(); first != null && first.at() <= Clock.now() && !stopped; first = timers.peek()) {
+                timers.poll();
+                now = Clock.now();
+                guarded(first.what());
+            }
+        }
+    }
+
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) { // one event's fault must not end the gateway
+            LOG.atError().setCause(e).log("an event failed");
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -0,0 +1,120 @@
+package walnutfield.gateway;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import walnutfield.desk.Desk;
+import walnutfield.net.Client;
+import walnutfield.net.Clock;
+import walnutfield.net.Server;
+import walnutfield.play.Gateway;
+
+/** One running gateway: its front, its desk's thread, its ways to hosts and list. */
+public final class GatewayServer implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(GatewayServer.class);
+    private static final int ANSWER_LOOK_MS = 20;
+
+    private final String name;
+    private final DeskThread thread;
+    private final HostClient hosts;
+    private final Client lists;
+    private final Plays plays;
+    private final ListClient list;
+    private final Front front;
+    private final Server server;
+    private final Terms.Front frontTerms;
+    private int port;
+
+    /**
+     * @param name  of the gateway, as hosts and the list service see it
+     * @param maker makes its desk, given where its results go
+     */
+    public GatewayServer(String name, Terms.Front frontTerms, Terms.Hosts hostTerms, Terms.Lists listTerms,
+                         Catalogue catalogue, Function<Gateway, Desk> maker) throws IOException {
+        this.name = name;
+        this.frontTerms = frontTerms;
+        thread = new DeskThread(name + "-desk", frontTerms.queue());
+        hosts = new HostClient(name, hostTerms);
+        lists = new Client(name + "-list", 1, new Client.Terms(listTerms.retryMs(), 1000, 1, 16_384, Long.MAX_VALUE));
+        String life = name + "." + Long.toString((long) Clock.now(), 36);
+        plays = new Plays(life, thread, hosts, frontTerms, hostTerms, catalogue, maker);
+        list = new ListClient(thread, lists, listTerms, name, plays::tell);
+        front = new Front(thread, plays, catalogue, frontTerms);
+        server = new Server(name, frontTerms.selectors(), frontTerms.limits(), front::handle);
+    }
+
+    /** Starts; returns the port that viewers reach it at. */
+    public int start() throws IOException {
+        thread.start();
+        thread.post(() -> plays.begin(list));
+        server.start();
+        port = server.bind(frontTerms.port());
+        LOG.atInfo().addKeyValue("gateway", name).addKeyValue("port", port).log("gateway started");
+        return port;
+    }
+
+    /** Takes nothing new, answers what it holds, then ends; after that time it ends in any case. */
+    public void drain(double mostMs) throws IOException {
+        front.drain();
+        double until = Clock.now() + mostMs;
+        LOG.atInfo().addKeyValue("gateway", name).log("gateway draining");
+        while (Clock.now() < until && ask(plays::unanswered) > 0) {
+            pause();
+        }
+        close();
+        LOG.atInfo().addKeyValue("gateway", name).log("gateway ended");
+    }
+
+    /** Plays under way, set-ups included. */
+    public int playing() {
+        return ask(plays::playing);
+    }
+
+    private int ask(java.util.function.IntSupplier what) {
+        CountDownLatch done = new CountDownLatch(1);
+        int[] answer = new int[1];
+        thread.post(() -> {
+            answer[0] = what.getAsInt();
+            done.countDown();
+        });
+        try {
+            return done.await(5, TimeUnit.SECONDS) ? answer[0] : 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 0;
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(ANSWER_LOOK_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Stands still for so long, as on a machine that stops: for rehearsals. */
+    public void stall(double ms) {
+        thread.post(() -> {
+            try {
+                Thread.sleep((long) ms);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    /** Ends at once: what is open is cut. */
+    @Override
+    public void close() throws IOException {
+        thread.stop();
+        server.unbind(port);
+        server.cut(port);
+        server.close();
+        hosts.close();
+        lists.close();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -0,0 +1,490 @@
+package walnutfield.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import walnutfield.desk.Call;
+import walnutfield.desk.Desk;
+import walnutfield.gateway.Viewing.Phase;
+import walnutfield.net.Client;
+import walnutfield.net.Exchange;
+import walnutfield.orca.LoadField;
+import walnutfield.play.Gateway;
+import walnutfield.play.HostId;
+import walnutfield.play.Ladder;
+import walnutfield.play.Load;
+import walnutfield.play.Outcome;
+import walnutfield.play.PlayId;
+import walnutfield.play.Wanted;
+import walnutfield.resume.Resume;
+import walnutfield.sse.Event;
+
+/**
+ * The viewings of one gateway: tells the desk what happens to them and carries out what it decides. All on the
+ * desk's thread, but for the playlists, which viewers fetch from any.
+ */
+final class Plays implements Gateway {
+    private static final Logger LOG = LoggerFactory.getLogger(Plays.class);
+    private static final Logger ACCESS = LoggerFactory.getLogger("access");
+
+    private final DeskThread thread;
+    private final HostClient hosts;
+    private final Terms.Front front;
+    private final Terms.Hosts hostTerms;
+    private final Catalogue catalogue;
+    private final String name;
+    private final Desk desk;
+    private final Map<Viewing.Key, Viewing> open = new HashMap<>();      // emptied as viewings end
+    private final Map<PlayId, Viewing> byPlay = new LinkedHashMap<>();   // emptied as plays end
+    private final Map<HostId, Double> probes = new HashMap<>();          // sent when; emptied as they come in
+    private final Map<String, SessionPlaylist> playlists = new ConcurrentHashMap<>(); // emptied by the idle look
+    private ListClient list;
+    private long next = 1;
+    private int unanswered;
+
+    /**
+     * @param name of this gateway's present life: no other gateway, nor this one started again, has the same
+     */
+    Plays(String name, DeskThread thread, HostClient hosts, Terms.Front front, Terms.Hosts hostTerms,
+          Catalogue catalogue, Function<Gateway, Desk> maker) {
+        this.name = name;
+        this.thread = thread;
+        this.hosts = hosts;
+        this.front = front;
+        this.hostTerms = hostTerms;
+        this.catalogue = catalogue;
+        desk = maker.apply(this);
+    }
+
+    void begin(ListClient with) {
+        list = with;
+        list.remembered();
+        thread.at(thread.now() + front.idleMs() / 2, this::lookForIdle);
+    }
+
+    void tell(Call call) {
+        desk.take(thread.now(), call);
+    }
+
+    /** Viewers that wait for their answer. */
+    int unanswered() {
+        return unanswered;
+    }
+
+    int playing() {
+        return byPlay.size();
+    }
+
+    /** The playlist of a viewing; null where there is none of that name. Any thread may ask. */
+    SessionPlaylist playlist(String id) {
+        return playlists.get(id);
+    }
+
+    // ---- Viewers
+
+    /** A viewer asked at that time; a second request for what is open joins it. */
+    void asked(Exchange x, Viewing.Asked asked, double at) {
+        Viewing v = open.get(asked.key());
+        if (v != null && v.phase == Phase.PLAYING) {
+            answerWith(x, v);
+            return;
+        }
+        if (v != null) {
+            if (v.waiting.size() >= front.joined()) {
+                Answers.status(x, 429, null);
+            } else {
+                await(x, v);
+            }
+            return;
+        }
+        double left = asked.band().hardStopMs() - (thread.now() - at);
+        if (left <= 0 || x.isDone()) { // it waited too long for the desk: it is not taken
+            if (!x.isDone()) {
+                Answers.notNow(x, null, front.retryAfterS() * 1000.0);
+            }
+            return;
+        }
+        v = new Viewing(asked, name + "-" + next, at, front.aheadS());
+        open.put(asked.key(), v);
+        Viewing taken = v;
+        thread.at(at + asked.band().hardStopMs(), () -> overdue(taken));
+        newPlay(v, left);
+        await(x, v);
+        tell(new Call.WishTaken(wish(v, false, left)));
+    }
+
+    private void await(Exchange x, Viewing v) {
+        v.waiting.add(x);
+        unanswered++;
+        x.onGone(() -> thread.post(() -> viewerGone(x, v)));
+    }
+
+    private void newPlay(Viewing v, double leftMs) {
+        v.play = new PlayId(next++);
+        v.session = name + "-" + v.play.value();
+        v.playTakenAt = thread.now() + leftMs - v.asked.band().hardStopMs();
+        v.legs = 0;
+        v.rung = v.asked.band().floor(); // the module names another only where it is another
+        v.servedRung = v.rung;
+        byPlay.put(v.play, v);
+    }
+
+    private Wanted wish(Viewing v, boolean moved, double leftMs) {
+        Viewing.Asked a = v.asked;
+        Catalogue.Title t = catalogue.titles().get(a.title());
+        double length = v.phase == Phase.PLAYING ? v.playlist.unlistedMs() : t.lengthMs();
+        return new Wanted(v.play, a.viewer(), a.title(), a.customer(), a.band(), t.firstCell(), t.holders(),
+            a.bestRung(), moved, length, leftMs);
+    }
+
+    private void viewerGone(Exchange x, Viewing v) {
+        if (!v.waiting.remove(x)) {
+            return;
+        }
+        unanswered--;
+        if (v.waiting.isEmpty() && v.phase == Phase.ASKED) {
+            giveUp(v, "viewer-gone");
+        }
+    }
+
+    /** Guards against a viewer left without an answer by a fault of ours; it never acts while the desk is sound. */
+    private void overdue(Viewing v) {
+        if (v.phase == Phase.ASKED) {
+            LOG.atError().addKeyValue("play", v.session).log("no answer by the hard stop");
+            answerAll(v, x -> Answers.status(x, 504, v.session));
+            giveUp(v, "overdue");
+        }
+    }
+
+    private void giveUp(Viewing v, String end) {
+        PlayId play = v.play;
+        byPlay.remove(play);
+        over(v, end);
+        tell(new Call.GaveUp(play));
+        if (v.legOut) {
+            v.legOut = false;
+            v.leg.callOff();
+            tell(new Call.Ended(play, v.legs - 1, v.host, Outcome.CALLED_OFF, true, thread.now() - v.sentAt,
+                Load.NONE));
+        }
+    }
+
+    private void answerAll(Viewing v, java.util.function.Consumer<Exchange> answer) {
+        List<Exchange> all = new ArrayList<>(v.waiting);
+        v.waiting.clear();
+        unanswered -= all.size();
+        for (Exchange x : all) {
+            if (!x.isDone()) {
+                answer.accept(x);
+            }
+        }
+    }
+
+    private void answerWith(Exchange x, Viewing v) {
+        Ladder ladder = catalogue.ladder();
+        int top = Math.max(v.asked.band().floor(), Math.min(v.asked.bestRung(),
+            Math.min(v.asked.band().top(), ladder.kb().size() - 1)));
+        Answers.playlist(x, v.session, Answers.multivariant(v.id, ladder, v.asked.band(), top));
+    }
+
+    /** The viewing's last line; its playlist stays for whoever is still reading it. */
+    private void over(Viewing v, String end) {
+        v.phase = Phase.OVER;
+        open.remove(v.asked.key(), v);
+        ACCESS.atInfo().addKeyValue("play", v.session).addKeyValue("end", end).addKeyValue("band", v.asked.band().name())
+            .addKeyValue("title", v.asked.title().value()).addKeyValue("host", v.host == null ? "-" : v.host.value())
+            .addKeyValue("legs", v.legs).addKeyValue("rung", v.servedRung)
+            .addKeyValue("startMs", v.startedAt > 0 ? Math.round(v.startedAt - v.takenAt) : -1)
+            .addKeyValue("totalMs", Math.round(thread.now() - v.takenAt)).addKeyValue("comebacks", v.comebacks)
+            .log("play");
+    }
+
+    /** A viewing that nobody asks for is over, and what is left of ended ones is forgotten. */
+    private void lookForIdle() {
+        double oldest = thread.now() - front.idleMs();
+        for (Viewing v : new ArrayList<>(byPlay.values())) {
+            if (v.phase == Phase.PLAYING && !v.legOut && !v.playlist.isWhole() && v.playlist.polledAt() < oldest) {
+                PlayId play = v.play;
+                if (v.stream == null) { // it waits for a place to come back to
+                    giveUp(v, "viewer-idle");
+                    continue;
+                }
+                byPlay.remove(play);
+                closeStream(v);
+                hosts.end(v.address, v.session);
+                over(v, "viewer-idle");
+                tell(new Call.Ended(play, v.legs - 1, v.host, Outcome.CALLED_OFF, true, thread.now() - v.sentAt,
+                    Load.NONE));
+            }
+        }
+        playlists.entrySet().removeIf(e -> e.getValue().polledAt() < oldest
+            && open.values().stream().noneMatch(v -> v.id.equals(e.getKey())));
+        thread.at(thread.now() + front.idleMs() / 2, this::lookForIdle);
+    }
+
+    // ---- What the desk decides
+
+    @Override
+    public void setUp(PlayId play, HostId host, double patienceMs) {
+        Viewing v = byPlay.get(play);
+        if (v == null) {
+            return;
+        }
+        int leg = v.legs++;
+        InetSocketAddress to = list.address(host);
+        v.host = host;
+        v.address = to;
+        v.sentAt = thread.now();
+        v.legOut = true;
+        if (to == null) {
+            thread.post(() -> legOver(v, play, leg, new HostClient.Reply(Outcome.NOT_SENT, null, Load.NONE,
+                "no address")));
+            return;
+        }
+        int rung = v.rung;
+        v.leg = hosts.setUp(to, v.session, "title=" + v.asked.title().value() + "&rung=" + rung + "&band="
+            + v.asked.band().name() + "&leg=" + leg + "&viewer=" + v.asked.viewer().value(),
+            reply -> thread.post(() -> legOver(v, play, leg, reply)));
+        thread.at(thread.now() + patienceMs, () -> {
+            if (isOut(v, play, leg)) {
+                v.leg.callOff();
+                legOver(v, play, leg, new HostClient.Reply(
+                    v.leg.wentOut() ? Outcome.TIMED_OUT : Outcome.UNREACHABLE, null, Load.NONE, "patience"));
+            }
+        });
+    }
+
+    private boolean isOut(Viewing v, PlayId play, int leg) {
+        return v.legOut && v.play.equals(play) && v.legs == leg + 1;
+    }
+
+    private void legOver(Viewing v, PlayId play, int leg, HostClient.Reply reply) {
+        if (!isOut(v, play, leg)) {
+            return; // it crossed its time-out or the viewer's going
+        }
+        v.legOut = false;
+        double took = thread.now() - v.sentAt;
+        if (reply.how() != Outcome.SERVED) {
+            LOG.atDebug().addKeyValue("play", v.session).addKeyValue("leg", leg).addKeyValue("host", v.host.value())
+                .addKeyValue("how", reply.how()).addKeyValue("why", reply.why()).log("leg failed");
+            tell(new Call.Ended(play, leg, v.host, reply.how(), false, took, reply.load()));
+            return;
+        }
+        v.phase = Phase.PLAYING;
+        v.startedAt = thread.now();
+        v.servedRung = v.rung;
+        v.playlist.from(thread.now(), reply.playlist(), HostClient.base(v.address), v.servedRung);
+        playlists.put(v.id, v.playlist);
+        listen(v, play);
+        answerAll(v, x -> answerWith(x, v));
+        tell(new Call.Started(play, leg, v.host, took));
+        if (reply.load() != Load.NONE) {
+            tell(new Call.LoadTold(v.host, reply.load()));
+        }
+    }
+
+    @Override
+    public void setRung(PlayId play, int rung) {
+        Viewing v = byPlay.get(play);
+        if (v == null) {
+            return;
+        }
+        v.rung = rung;
+        if (v.phase != Phase.PLAYING || v.stream == null) {
+            return; // it goes with the set-up
+        }
+        hosts.setRung(v.address, v.session, rung, reply -> thread.post(() -> {
+            if (v.play != play || v.phase != Phase.PLAYING || v.rung != rung || v.stream == null) {
+                return;
+            }
+            if (reply.how() == Outcome.SERVED) {
+                v.servedRung = rung;
+                v.playlist.from(thread.now(), reply.playlist(), HostClient.base(v.address), rung);
+            } else { // the host goes on as it was
+                v.rung = v.servedRung;
+                tell(new Call.RungTold(play, v.servedRung));
+            }
+        }));
+    }
+
+    @Override
+    public void move(PlayId play) {
+        Viewing v = byPlay.get(play);
+        if (v == null || v.phase != Phase.PLAYING || v.stream == null) {
+            return;
+        }
+        closeStream(v);
+        hosts.end(v.address, v.session);
+        thread.post(() -> comeBack(v, play, Outcome.CALLED_OFF, true));
+    }
+
+    @Override
+    public void shed(PlayId play, double holdOffMs) {
+        end(play, 503, holdOffMs, "shed");
+    }
+
+    @Override
+    public void error(PlayId play) {
+        end(play, 502, 0, "errored");
+    }
+
+    private void end(PlayId play, int status, double holdOffMs, String how) {
+        Viewing v = byPlay.remove(play);
+        if (v == null) {
+            return;
+        }
+        answerAll(v, x -> {
+            if (status == 503) {
+                Answers.notNow(x, v.session, holdOffMs);
+            } else {
+                Answers.status(x, status, v.session);
+            }
+        });
+        v.playlist.end(status, (int) Math.ceil(holdOffMs / 1000));
+        over(v, v.phase == Phase.PLAYING ? how + "-again" : how);
+    }
+
+    @Override
+    public void probe(HostId host) {
+        InetSocketAddress to = list.address(host);
+        double at = thread.now();
+        probes.put(host, at);
+        if (to == null) {
+            thread.post(() -> probed(host, at, new HostClient.Reply(Outcome.NOT_SENT, null, Load.NONE, "")));
+            return;
+        }
+        hosts.probe(to, reply -> thread.post(() -> probed(host, at, reply)));
+        thread.at(at + hostTerms.probeMs(),
+            () -> probed(host, at, new HostClient.Reply(Outcome.TIMED_OUT, null, Load.NONE, "")));
+    }
+
+    private void probed(HostId host, double at, HostClient.Reply reply) {
+        if (probes.remove(host, at)) {
+            tell(new Call.Probed(host, reply.how(), thread.now() - at, reply.load()));
+        }
+    }
+
+    @Override
+    public void followList() {
+        thread.post(list::connect);
+    }
+
+    @Override
+    public void wake(double time, String mark) {
+        thread.at(time, () -> tell(new Call.Woke(mark)));
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.info(line);
+    }
+
+    // ---- Plays that play
+
+    private void listen(Viewing v, PlayId play) {
+        v.heardAt = thread.now();
+        v.stream = hosts.listen(v.address, v.session, new HostClient.Ear() {
+            @Override
+            public void alive() {
+                thread.offer(() -> v.heardAt = thread.now());
+            }
+
+            @Override
+            public void event(Event e) {
+                if (e.name().equals("end")) {
+                    thread.post(() -> hostEnded(v, play));
+                } else {
+                    thread.offer(() -> figure(v, play, e));
+                }
+            }
+
+            @Override
+            public void lost() {
+                thread.post(() -> broke(v, play));
+            }
+        });
+        thread.at(thread.now() + hostTerms.silentMs(), () -> lookForSilence(v, play));
+    }
+
+    private void lookForSilence(Viewing v, PlayId play) {
+        if (!v.play.equals(play) || v.stream == null || v.phase != Phase.PLAYING) {
+            return;
+        }
+        if (thread.now() - v.heardAt >= hostTerms.silentMs()) {
+            broke(v, play);
+        } else {
+            thread.at(v.heardAt + hostTerms.silentMs(), () -> lookForSilence(v, play));
+        }
+    }
+
+    private void figure(Viewing v, PlayId play, Event e) {
+        if (!v.play.equals(play) || v.stream == null) {
+            return;
+        }
+        if (e.name().equals("load")) {
+            tell(new Call.LoadTold(v.host, LoadField.read(e.data())));
+        } else if (e.name().equals("share")) {
+            try {
+                double share = Double.parseDouble(e.data());
+                if (share >= 0 && share <= 1) {
+                    tell(new Call.ShareTold(v.host, share));
+                }
+            } catch (NumberFormatException bad) {
+                LOG.atWarn().addKeyValue("host", v.host.value()).log("a share that is no number");
+            }
+        }
+    }
+
+    /** The host says that the viewer has had all of it, or has gone. */
+    private void hostEnded(Viewing v, PlayId play) {
+        if (!v.play.equals(play) || v.stream == null) {
+            return;
+        }
+        closeStream(v);
+        byPlay.remove(play);
+        v.playlist.end(404, 0);
+        over(v, "served");
+        tell(new Call.Ended(play, v.legs - 1, v.host, Outcome.SERVED, true, thread.now() - v.sentAt, Load.NONE));
+    }
+
+    /** The host was lost while the play played. */
+    private void broke(Viewing v, PlayId play) {
+        if (!v.play.equals(play) || v.stream == null) {
+            return;
+        }
+        closeStream(v);
+        comeBack(v, play, Outcome.BROKEN_OFF, false);
+    }
+
+    /** The old play ends and, where it may, the viewing goes on as a new one; else it ends honestly. */
+    private void comeBack(Viewing v, PlayId old, Outcome how, boolean moved) {
+        byPlay.remove(old);
+        v.playlist.hold();
+        boolean back = moved || Resume.comesBack(v.asked.band(), v.comebacks, thread.now() - v.startedAt,
+            v.playlist.unlistedMs());
+        tell(new Call.Ended(old, v.legs - 1, v.host, how, true, thread.now() - v.sentAt, Load.NONE));
+        if (!back) {
+            v.playlist.end(502, 0);
+            over(v, "broken");
+            return;
+        }
+        v.comebacks++;
+        double left = v.asked.band().hardStopMs();
+        newPlay(v, left);
+        tell(new Call.WishTaken(wish(v, moved, left)));
+    }
+
+    private void closeStream(Viewing v) {
+        if (v.stream != null) {
+            v.stream.callOff();
+            v.stream = null;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/walnutfield/standin/HostTerms.java
@@ -0,0 +1,26 @@
+package walnutfield.standin;
+
+import java.util.List;
+import java.util.Map;
+import walnutfield.play.Band;
+import walnutfield.play.ColdTerms;
+import walnutfield.play.Ladder;
+
+/**
+ * How media hosts behave.
+ *
+ * @param rackKb    uplink of each rack, kB a second
+ * @param guard     use over which set-ups are turned away; 0 for none
+ * @param workMs    a set-up takes so long
+ * @param offLadder true rates are off the ladder's by this part at most
+ * @param refreshMs load figures are made anew so often
+ * @param noise     and are off by this part at most
+ * @param lateMs    what is told of playing plays is so late
+ * @param tellMs    link figures of playing plays come so often; 0 for never
+ * @param segmentS  length of a segment
+ * @param segments  of a title
+ * @param idleMs    a session whose viewer fetches nothing for so long is over
+ */
+public record HostTerms(Ladder ladder, Map<String, Band> bands, ColdTerms cold, List<Double> rackKb, double guard,
+                        double workMs, double offLadder, double refreshMs, double noise, double lateMs, double tellMs,
+                        double segmentS, int segments, double idleMs) { }
--- /dev/null
+++ b/standins/src/main/java/walnutfield/standin/MediaHosts.java
@@ -0,0 +1,549 @@
+package walnutfield.standin;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import walnutfield.hls.MediaPlaylist;
+import walnutfield.hls.PlaylistWriter;
+import walnutfield.hls.Segment;
+import walnutfield.net.Clock;
+import walnutfield.net.Exchange;
+import walnutfield.net.Headers;
+import walnutfield.net.Limits;
+import walnutfield.net.Query;
+import walnutfield.net.Server;
+import walnutfield.orca.LoadField;
+import walnutfield.play.Load;
+import walnutfield.sse.Event;
+import walnutfield.standin.audit.Auditor;
+
+/**
+ * All media hosts of a rehearsal, each on a port of its own. Links and rack uplinks are shared by all plays; hosts
+ * warm up, fall over, turn away, and fail as they are told to. One lock holds them all.
+ */
+public final class MediaHosts implements AutoCloseable {
+    private static final Pattern SESSION = Pattern.compile("/sessions/([A-Za-z0-9._-]+)(/events)?");
+    private static final Pattern MEDIA = Pattern.compile("/media/([0-9]+)/([0-9]+)/([0-9]+)\\.ts");
+    private static final Limits LIMITS = new Limits(20_000, 16_384, 60, 65_536, 10_000, 30_000, 30_000, 4);
+    private static final double TICK_MS = 100;
+    private static final double BEAT_MS = 500;
+    private static final double STREAMLESS_MS = 2_000; // a session that no gateway listens to ends after this
+    private static final double SHORT = 0.98;
+    private static final int PACKET = 188; // a transport stream packet: segments are tiny
+
+    /** One session on a host. */
+    private static final class Session {
+        String gateway;
+        String play;
+        String band;
+        long title;
+        int rung;
+        double rateKb;
+        double since;
+        double fetchedAt;
+        double streamLostAt;
+        boolean serving;
+        boolean wasShort;
+        int fetched;
+        Exchange stream;
+    }
+
+    private final class Host {
+        final HostPlan plan;
+        final Map<String, Session> sessions = new LinkedHashMap<>(); // emptied as they end
+        final List<Runnable> stood = new ArrayList<>(); // what waits for it to go on
+        final List<Double> setUps = new ArrayList<>(); // while cold
+        int port;
+        boolean up = true;
+        boolean silent;
+        boolean standing;
+        boolean answersLost;
+        double failing;
+        double slowMs;
+        double linkPart = 1;
+        double startedAt = Double.NEGATIVE_INFINITY;
+        double toldLink;
+        double toldUplink;
+        double toldStreams;
+
+        Host(HostPlan plan) {
+            this.plan = plan;
+        }
+
+        double linkKb(double now) {
+            return plan.linkKb() * linkPart * terms.cold().warmth(startedAt, now);
+        }
+
+        double askedKb() {
+            return sessions.values().stream().mapToDouble(s -> s.rateKb).sum();
+        }
+    }
+
+    private final HostTerms terms;
+    private final Auditor auditor;
+    private final SplittableRandom random;
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Map<Integer, Host> byPort = new ConcurrentHashMap<>();
+    private final Server server;
+    private final ScheduledExecutorService timers;
+    private double beatAt;
+    private double tellAt;
+    private double refreshAt;
+
+    public MediaHosts(List<HostPlan> plans, HostTerms terms, long seed, Auditor auditor) throws IOException {
+        this.terms = terms;
+        this.auditor = auditor;
+        random = new SplittableRandom(seed);
+        timers = Executors.newScheduledThreadPool(2, r -> {
+            Thread t = new Thread(r, "hosts-timers");
+            t.setDaemon(true);
+            return t;
+        });
+        server = new Server("hosts", 2, LIMITS, this::take);
+        server.start();
+        for (HostPlan p : plans) {
+            Host h = new Host(p);
+            h.port = server.bind(0);
+            hosts.put(p.name(), h);
+            byPort.put(h.port, h);
+            auditor.host(p.name(), p.slots());
+        }
+        timers.scheduleAtFixedRate(this::tick, (long) TICK_MS, (long) TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    public int port(String host) {
+        return hosts.get(host).port;
+    }
+
+    public List<HostPlan> plans() {
+        return hosts.values().stream().map(h -> h.plan).toList();
+    }
+
+    // ---- Faults
+
+    /** Lost at once with all that it has. */
+    public synchronized void crash(String host) {
+        Host h = hosts.get(host);
+        h.up = false;
+        byPort.remove(h.port);
+        server.unbind(h.port);
+        server.cut(h.port);
+        dropAll(h);
+    }
+
+    /** Comes back after a crash, cold, at the same address. */
+    public synchronized void restart(String host) throws IOException {
+        Host h = hosts.get(host);
+        if (!h.up) {
+            server.bind(h.port);
+            byPort.put(h.port, h);
+            h.up = true;
+        }
+        cold(h);
+    }
+
+    private void cold(Host h) {
+        h.startedAt = Clock.now();
+        h.setUps.clear();
+        h.toldLink = h.toldUplink = h.toldStreams = 0;
+        auditor.hostStarted(h.plan.name(), h.startedAt);
+    }
+
+    public double startedAt(String host) {
+        return Math.max(0, hosts.get(host).startedAt);
+    }
+
+    public synchronized boolean isUp(String host) {
+        return hosts.get(host).up;
+    }
+
+    /** Says nothing and resets nothing; when that is over it has lost all and is cold. */
+    public synchronized void silent(String host, boolean on) {
+        Host h = hosts.get(host);
+        h.silent = on;
+        if (!on) {
+            server.cut(h.port);
+            dropAll(h);
+            cold(h);
+        }
+    }
+
+    /** Answers nothing for a time, then all that came meanwhile. */
+    public void standing(String host, boolean on) {
+        List<Runnable> all;
+        synchronized (this) {
+            Host h = hosts.get(host);
+            h.standing = on;
+            all = on ? List.of() : new ArrayList<>(h.stood);
+            h.stood.clear();
+        }
+        all.forEach(Runnable::run);
+    }
+
+    /** Set-ups run, but their answers do not arrive; probes are answered. */
+    public synchronized void answersLost(String host, boolean on) {
+        hosts.get(host).answersLost = on;
+    }
+
+    /** So many of the set-ups fail, at once. */
+    public synchronized void failing(String host, double share) {
+        hosts.get(host).failing = share;
+    }
+
+    /** Set-ups take so much longer. */
+    public synchronized void slow(String host, double ms) {
+        hosts.get(host).slowMs = ms;
+    }
+
+    /** Its link gives this part of what it did. */
+    public synchronized void link(String host, double part) {
+        hosts.get(host).linkPart = part;
+    }
+
+    private void dropAll(Host h) {
+        double now = Clock.now();
+        for (Session s : h.sessions.values()) {
+            auditor.sessionOver(s.play, h.plan.name(), now);
+        }
+        h.sessions.clear();
+        h.stood.clear();
+    }
+
+    // ---- Requests
+
+    private void take(Exchange x) {
+        Host h = byPort.get(x.port());
+        if (h == null) {
+            x.abort();
+            return;
+        }
+        Matcher m = SESSION.matcher(x.request().path());
+        boolean setUp = m.matches() && x.request().method().equals("POST");
+        if (setUp) {
+            cameIn(h, x, m.group(1));
+        }
+        synchronized (this) {
+            if (h.silent) {
+                return;
+            }
+            if (h.standing) {
+                h.stood.add(() -> serve(h, x));
+                return;
+            }
+        }
+        serve(h, x);
+    }
+
+    private void cameIn(Host h, Exchange x, String play) {
+        Query q = x.request().parameters();
+        auditor.legCame(gateway(x), play, (int) q.whole("leg", 0), h.plan.name(), q.get("band", ""),
+            q.whole("title", 0), (int) q.whole("rung", 0), Clock.now());
+        x.onGone(() -> auditor.legOver(play, h.plan.name(), Auditor.Fate.CLOSED, Clock.now()));
+    }
+
+    private static String gateway(Exchange x) {
+        String via = x.request().headers().get("Via");
+        return via == null ? "" : via.substring(via.indexOf(' ') + 1);
+    }
+
+    private void serve(Host h, Exchange x) {
+        if (x.isDone()) {
+            return;
+        }
+        Matcher media = MEDIA.matcher(x.request().path());
+        Matcher session = SESSION.matcher(x.request().path());
+        if (media.matches()) {
+            segment(h, x, Integer.parseInt(media.group(3)));
+        } else if (x.request().path().equals("/load")) {
+            x.answer(204, loaded(h), new byte[0]);
+        } else if (!session.matches()) {
+            x.answer(404, Headers.NONE, new byte[0]);
+        } else if (session.group(2) != null) {
+            listen(h, x, session.group(1));
+        } else {
+            switch (x.request().method()) {
+                case "POST" -> setUp(h, x, session.group(1));
+                case "PUT" -> setRung(h, x, session.group(1));
+                case "DELETE" -> {
+                    over(h, session.group(1));
+                    x.answer(204, Headers.NONE, new byte[0]);
+                }
+                default -> x.answer(405, Headers.NONE, new byte[0]);
+            }
+        }
+    }
+
+    private Headers loaded(Host h) {
+        synchronized (this) {
+            return Headers.of(LoadField.NAME, LoadField.write(new Load(h.toldLink, h.toldUplink, h.toldStreams)));
+        }
+    }
+
+    private void setUp(Host h, Exchange x, String play) {
+        String name = h.plan.name();
+        Query q = x.request().parameters();
+        double now = Clock.now();
+        double work;
+        synchronized (this) {
+            if (!h.up) {
+                return;
+            }
+            if (fallsOver(h, now)) {
+                auditor.hostFell(name, now);
+                crash(name);
+                return;
+            }
+            boolean full = h.sessions.size() >= h.plan.slots()
+                || terms.guard() > 0 && h.askedKb() > terms.guard() * h.linkKb(now);
+            if (full || random.nextDouble() < h.failing) {
+                auditor.legOver(play, name, full ? Auditor.Fate.TURNED_AWAY : Auditor.Fate.FAILED, now);
+                x.answer(full ? 503 : 500, loaded(h), new byte[0]);
+                return;
+            }
+            Session s = new Session();
+            s.gateway = gateway(x);
+            s.play = play;
+            s.band = q.get("band", "");
+            s.title = q.whole("title", 0);
+            s.rung = (int) q.whole("rung", 0);
+            s.rateKb = rate(s);
+            s.since = s.fetchedAt = s.streamLostAt = now;
+            h.sessions.put(play, s);
+            work = terms.workMs() * (0.5 + random.nextDouble()) + h.slowMs;
+        }
+        timers.schedule(() -> answerSetUp(h, x, play), (long) (work * 1000), TimeUnit.MICROSECONDS);
+    }
+
+    private void answerSetUp(Host h, Exchange x, String play) {
+        byte[] body;
+        synchronized (this) {
+            Session s = h.sessions.get(play);
+            if (s == null || !h.up || h.silent || h.answersLost) {
+                return;
+            }
+            if (h.standing) {
+                h.stood.add(() -> answerSetUp(h, x, play));
+                return;
+            }
+            if (x.isDone()) {
+                return;
+            }
+            s.serving = true;
+            s.streamLostAt = Clock.now();
+            body = playlist(s.title, s.rung);
+            auditor.legOver(play, h.plan.name(), Auditor.Fate.SERVED, Clock.now());
+        }
+        x.answer(200, loaded(h).with("Content-Type", "application/vnd.apple.mpegurl"), body);
+    }
+
+    /** More than so many times the cold pace in the time that fells it. */
+    private boolean fallsOver(Host h, double now) {
+        if (terms.cold().warmMs() <= 0 || now - h.startedAt >= terms.cold().warmMs()) {
+            return false;
+        }
+        double fall = terms.cold().fallMs();
+        h.setUps.add(now);
+        h.setUps.removeIf(t -> t < now - fall);
+        double pace = h.plan.slots() / terms.cold().warmMs() * terms.cold().warmth(h.startedAt, now);
+        return h.setUps.size() > terms.cold().multiple() * pace * fall + 1;
+    }
+
+    /** True rates lie off the ladder, by title. */
+    private double rate(Session s) {
+        double off = (new SplittableRandom(s.title).nextDouble() * 2 - 1) * terms.offLadder();
+        return terms.ladder().rate(terms.bands().get(s.band), s.rung) * (1 + off);
+    }
+
+    private void setRung(Host h, Exchange x, String play) {
+        byte[] body;
+        synchronized (this) {
+            Session s = h.sessions.get(play);
+            if (s == null) {
+                x.answer(404, Headers.NONE, new byte[0]);
+                return;
+            }
+            s.rung = (int) x.request().parameters().whole("rung", s.rung);
+            s.rateKb = rate(s);
+            auditor.rungChanged(play, h.plan.name(), s.band, s.rung, Clock.now());
+            body = playlist(s.title, s.rung);
+        }
+        x.answer(200, loaded(h), body);
+    }
+
+    private byte[] playlist(long title, int rung) {
+        List<Segment> all = new ArrayList<>();
+        for (int i = 0; i < terms.segments(); i++) {
+            all.add(new Segment("media/" + title + "/" + rung + "/" + i + ".ts", terms.segmentS(), "", null, false,
+                List.of()));
+        }
+        return PlaylistWriter.write(new MediaPlaylist(3, (int) Math.ceil(terms.segmentS()), 0, 0,
+            MediaPlaylist.Type.VOD, List.of(), all, true)).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void listen(Host h, Exchange x, String play) {
+        synchronized (this) {
+            Session s = h.sessions.get(play);
+            if (s == null) {
+                x.answer(404, Headers.NONE, new byte[0]);
+                return;
+            }
+            s.stream = x;
+            x.begin(200, Headers.of("Content-Type", "text/event-stream", "Cache-Control", "no-store"));
+            x.piece(": here\n\n".getBytes(StandardCharsets.UTF_8));
+        }
+        x.onGone(() -> {
+            synchronized (this) {
+                Session s = h.sessions.get(play);
+                if (s != null && s.stream == x) {
+                    s.stream = null;
+                    s.streamLostAt = Clock.now();
+                }
+            }
+        });
+    }
+
+    private void segment(Host h, Exchange x, int number) {
+        double late = 0;
+        int packets = 1;
+        synchronized (this) {
+            String id = x.request().parameters().get("session", "");
+            Session s = h.sessions.get(id); // null for a play that has moved on: what was listed is still served
+            if (s != null) {
+                s.fetchedAt = Clock.now();
+                s.fetched = Math.max(s.fetched, number + 1);
+                packets = s.rung + 1;
+                double share = share(h, Clock.now());
+                late = terms.segmentS() * 1000 * Math.max(0, 1 / Math.max(0.2, share) - 1);
+            }
+        }
+        byte[] bytes = new byte[PACKET * packets];
+        for (int i = 0; i < bytes.length; i += PACKET) {
+            bytes[i] = 0x47;
+        }
+        Headers type = Headers.of("Content-Type", "video/mp2t");
+        if (late < 1) {
+            x.answer(200, type, bytes);
+        } else {
+            timers.schedule(() -> {
+                if (!x.isDone()) {
+                    x.answer(200, type, bytes);
+                }
+            }, (long) late, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void over(Host h, String play) {
+        synchronized (this) {
+            Session s = h.sessions.remove(play);
+            if (s != null) {
+                auditor.sessionOver(play, h.plan.name(), Clock.now());
+                if (s.stream != null) {
+                    s.stream.end();
+                }
+            }
+        }
+    }
+
+    // ---- Time
+
+    private double uplinkKb(int rack) {
+        return terms.rackKb().isEmpty() ? Double.POSITIVE_INFINITY : terms.rackKb().get(rack % terms.rackKb().size());
+    }
+
+    private double rackAsked(int rack) {
+        return hosts.values().stream().filter(o -> o.plan.rack() == rack).mapToDouble(Host::askedKb).sum();
+    }
+
+    /** The share of its rates that every play on the host gets. */
+    private double share(Host h, double now) {
+        double link = h.linkKb(now) / Math.max(1, h.askedKb());
+        double uplink = uplinkKb(h.plan.rack()) / Math.max(1, rackAsked(h.plan.rack()));
+        return Math.min(1, Math.min(link, uplink));
+    }
+
+    private double noisy(double v) {
+        return v * (1 + (random.nextDouble() * 2 - 1) * terms.noise());
+    }
+
+    private void tick() {
+        try {
+            synchronized (this) {
+                tickAll(Clock.now());
+            }
+        } catch (RuntimeException e) {
+            e.printStackTrace();
+        }
+    }
+
+    private void tickAll(double now) {
+        boolean beat = now >= beatAt;
+        boolean tell = terms.tellMs() > 0 && now >= tellAt;
+        beatAt = beat ? now + BEAT_MS : beatAt;
+        tellAt = tell ? now + terms.tellMs() : tellAt;
+        if (now >= refreshAt) {
+            refreshAt = now + terms.refreshMs();
+            for (Host h : hosts.values()) {
+                h.toldLink = noisy(h.askedKb() / Math.max(1, h.linkKb(now)));
+                h.toldUplink = noisy(rackAsked(h.plan.rack()) / uplinkKb(h.plan.rack()));
+                h.toldStreams = h.sessions.size();
+            }
+        }
+        for (Host h : hosts.values()) {
+            if (!h.up || h.silent || h.standing) {
+                continue;
+            }
+            double share = share(h, now);
+            Map<String, Boolean> toldTo = new HashMap<>(); // each gateway hears on one of its sessions there
+            for (Session s : new ArrayList<>(h.sessions.values())) {
+                if (s.stream == null) {
+                    if (now - s.streamLostAt > STREAMLESS_MS) {
+                        over(h, s.play);
+                    }
+                    continue;
+                }
+                if (s.fetched >= terms.segments() || now - s.fetchedAt > terms.idleMs()) {
+                    s.stream.piece(new Event("end", s.fetched >= terms.segments() ? "whole" : "idle").bytes());
+                    over(h, s.play);
+                    continue;
+                }
+                if (beat) {
+                    s.stream.piece(": beat\n\n".getBytes(StandardCharsets.UTF_8));
+                    if (toldTo.putIfAbsent(s.gateway, true) == null && (share < SHORT || s.wasShort)) {
+                        later(s, new Event("share", Double.toString(Math.min(1, share))));
+                        s.wasShort = share < SHORT;
+                    }
+                }
+                if (tell && toldTo.put(s.gateway, false) != Boolean.FALSE) {
+                    later(s, new Event("load", LoadField.write(new Load(h.toldLink, Double.NaN, Double.NaN))));
+                }
+            }
+        }
+    }
+
+    private void later(Session s, Event e) {
+        Exchange to = s.stream;
+        timers.schedule(() -> to.piece(e.bytes()), (long) terms.lateMs(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Sessions on a host now. */
+    public synchronized int sessions(String host) {
+        return hosts.get(host).sessions.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        timers.shutdownNow();
+        server.close();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/walnutfield/standin/Viewers.java
@@ -0,0 +1,302 @@
+package walnutfield.standin;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import walnutfield.hls.MediaPlaylist;
+import walnutfield.hls.PlaylistException;
+import walnutfield.hls.PlaylistReader;
+import walnutfield.net.Client;
+import walnutfield.net.Clock;
+import walnutfield.net.Headers;
+import walnutfield.net.Request;
+import walnutfield.play.Band;
+import walnutfield.standin.audit.Auditor;
+
+/**
+ * Viewers that ask for titles, follow their playlists, fetch every segment from where it is listed, and come again.
+ * One lock holds the draws; each viewer is driven by one timer thread.
+ */
+public final class Viewers implements AutoCloseable {
+    /** How viewers behave; see {@link walnutfield.standin.day.Crowd}. */
+    public record Habits(double returns, double twice, double impatient, double pollMs) { }
+
+    /** Where a viewer may go now: a gateway's name and port; null where there is none. */
+    public record Gate(String name, int port) { }
+
+    private final Auditor auditor;
+    private final Habits habits;
+    private final Client client;
+    private final ScheduledExecutorService timers;
+    private final SplittableRandom random;
+    private final Supplier<Gate> gates;
+    private final AtomicLong requests = new AtomicLong();
+    private final AtomicLong ids = new AtomicLong();
+    private final AtomicInteger open = new AtomicInteger();
+    private final AtomicLong segments = new AtomicLong();
+    private final AtomicLong missed = new AtomicLong();
+    private final AtomicLong watched = new AtomicLong();
+    private final AtomicLong broken = new AtomicLong();
+    private final AtomicLong malformed = new AtomicLong();
+    private volatile boolean closing;
+
+    public Viewers(Habits habits, long seed, Supplier<Gate> gates, Auditor auditor) throws IOException {
+        this.habits = habits;
+        this.gates = gates;
+        this.auditor = auditor;
+        random = new SplittableRandom(seed);
+        client = new Client("viewers", 2, new Client.Terms(2000, 5000, 64, 32_768, 1 << 24));
+        timers = Executors.newSingleThreadScheduledExecutor(r -> {
+            Thread t = new Thread(r, "viewers");
+            t.setDaemon(true);
+            return t;
+        });
+    }
+
+    /** A new viewer comes. */
+    public void come(long title, Band band, int bestRung) {
+        Viewer v = new Viewer(ids.incrementAndGet(), title, band, bestRung);
+        timers.execute(v::ask);
+    }
+
+    /** No one comes again from now on. */
+    public void lastCall() {
+        closing = true;
+    }
+
+    /** Requests for plays that are still open. */
+    public int open() {
+        return open.get();
+    }
+
+    /** Segments fetched, segments not got, plays watched to their end, plays that broke, malformed playlists. */
+    public List<Long> figures() {
+        return List.of(segments.get(), missed.get(), watched.get(), broken.get(), malformed.get());
+    }
+
+    private double draw() {
+        synchronized (random) {
+            return random.nextDouble();
+        }
+    }
+
+    private void later(double ms, Runnable what) {
+        try {
+            timers.schedule(() -> {
+                try {
+                    what.run();
+                } catch (RuntimeException e) {
+                    e.printStackTrace();
+                }
+            }, (long) (ms * 1000), TimeUnit.MICROSECONDS);
+        } catch (java.util.concurrent.RejectedExecutionException e) {
+            // the rehearsal is over
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        timers.shutdownNow();
+        client.close();
+    }
+
+    private interface Whole {
+        void take(int status, Headers headers, String body);
+    }
+
+    /** Status 0 stands for no answer. */
+    private Client.Sent get(InetSocketAddress to, String target, Whole then) {
+        return client.send(to, Request.get(target, Headers.NONE), new Client.Answer() {
+            private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            private int status;
+            private Headers headers = Headers.NONE;
+
+            @Override
+            public void head(int s, Headers h) {
+                status = s;
+                headers = h;
+            }
+
+            @Override
+            public void body(byte[] piece) {
+                bytes.write(piece, 0, piece.length);
+            }
+
+            @Override
+            public void done() {
+                then.take(status, headers, bytes.toString(StandardCharsets.ISO_8859_1));
+            }
+
+            @Override
+            public void failed(Client.Failure how) {
+                then.take(0, Headers.NONE, "");
+            }
+        });
+    }
+
+    /** One viewer, over all tries. */
+    private final class Viewer {
+        private final long id;
+        private final long title;
+        private final Band band;
+        private final int bestRung;
+        private InetSocketAddress gateway;
+        private String media;
+        private int next;         // segment to fetch
+        private MediaPlaylist list;
+        private boolean fetching;
+        private boolean over;
+
+        Viewer(long id, long title, Band band, int bestRung) {
+            this.id = id;
+            this.title = title;
+            this.band = band;
+            this.bestRung = bestRung;
+        }
+
+        private void ask() {
+            Gate g = gates.get();
+            if (g == null) {
+                comeAgain(0);
+                return;
+            }
+            gateway = new InetSocketAddress("127.0.0.1", g.port());
+            over = false;
+            media = null;
+            list = null;
+            next = 0;
+            send(g, true);
+            if (draw() < habits.twice()) {
+                send(g, false);
+            }
+        }
+
+        private void send(Gate g, boolean first) {
+            long request = requests.incrementAndGet();
+            auditor.asked(request, g.name(), band.name(), Clock.now());
+            open.incrementAndGet();
+            boolean[] settled = new boolean[1];
+            Client.Sent sent = get(gateway, "/play/" + title + ".m3u8?band=" + band.name() + "&viewer=" + id + "&best="
+                + bestRung, (status, headers, body) -> {
+                    double at = Clock.now();
+                    synchronized (settled) {
+                        if (settled[0]) {
+                            return;
+                        }
+                        settled[0] = true;
+                    }
+                    open.decrementAndGet();
+                    if (status == 0) {
+                        auditor.unanswered(request, at);
+                    } else {
+                        auditor.answered(request, status, headers.get("Session-Id"), at);
+                    }
+                    if (first) {
+                        later(0, () -> answered(status, headers, body));
+                    }
+                });
+            boolean leaves = draw() < habits.impatient();
+            double waits = leaves ? band.hardStopMs() * draw() * 0.2 : band.hardStopMs() + 500;
+            later(waits, () -> {
+                synchronized (settled) {
+                    if (settled[0]) {
+                        return;
+                    }
+                    settled[0] = true;
+                }
+                open.decrementAndGet();
+                sent.callOff();
+                if (leaves) {
+                    auditor.viewerLeft(request);
+                } else {
+                    auditor.unanswered(request, Clock.now());
+                }
+            });
+        }
+
+        private void answered(int status, Headers headers, String body) {
+            if (status != 200) {
+                String after = headers.get("Retry-After");
+                comeAgain(after == null ? 0 : 1000 * Double.parseDouble(after));
+                return;
+            }
+            try {
+                media = PlaylistReader.multivariant(body).variants().get(0).uri();
+            } catch (PlaylistException e) {
+                malformed.incrementAndGet();
+                return;
+            }
+            poll();
+        }
+
+        private void comeAgain(double advisedMs) {
+            over = true;
+            if (!closing && draw() < habits.returns()) {
+                later(advisedMs > 0 ? advisedMs * (1 + draw()) : 900 + 1500 * draw(), this::ask);
+            }
+        }
+
+        private void poll() {
+            String at = media;
+            get(gateway, at, (status, headers, body) -> later(0, () -> {
+                if (!at.equals(media) || over) {
+                    return;
+                }
+                if (status != 200) {
+                    broken.incrementAndGet();
+                    comeAgain(0);
+                    return;
+                }
+                try {
+                    list = PlaylistReader.media(body);
+                } catch (PlaylistException e) {
+                    malformed.incrementAndGet();
+                    return;
+                }
+                fetch();
+                if (!list.ended()) {
+                    later(habits.pollMs(), this::poll);
+                }
+            }));
+        }
+
+        private void fetch() {
+            if (fetching || over || list == null) {
+                return;
+            }
+            if (next >= list.segments().size()) {
+                if (list.ended()) {
+                    over = true;
+                    watched.incrementAndGet();
+                }
+                return;
+            }
+            fetching = true;
+            double since = Clock.now();
+            URI uri = URI.create(list.segments().get(next).uri());
+            double plays = list.segments().get(next).durationS() * 1000;
+            String at = media;
+            get(new InetSocketAddress(uri.getHost(), uri.getPort()), uri.getRawPath() + "?" + uri.getRawQuery(),
+                (status, headers, body) -> later(0, () -> {
+                    fetching = false;
+                    if (!at.equals(media) || over) {
+                        return;
+                    }
+                    next++;
+                    (status == 200 ? segments : missed).incrementAndGet();
+                    later(Math.max(0, plays - (Clock.now() - since)), this::fetch);
+                }));
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/walnutfield/standin/audit/Auditor.java
@@ -0,0 +1,389 @@
+package walnutfield.standin.audit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import walnutfield.play.Band;
+import walnutfield.play.HostLine;
+
+/**
+ * Notes what the stand-ins see on their sockets and holds it against the six rules, per gateway, and the fourth over
+ * all of them. It keeps every leg of a day: it is for rehearsals, not for service. Any thread may tell it.
+ */
+public final class Auditor {
+    /** What a host made of a leg. */
+    public enum Fate { /** Still out. */ OPEN, SERVED, TURNED_AWAY, FAILED, /** The gateway closed it. */ CLOSED,
+        /** The host was lost with it. */ LOST }
+
+    /** A set-up that reached a host. */
+    private static final class Leg {
+        String gateway;
+        String play;
+        int number;
+        String host;
+        String band;
+        long title;
+        int rung;
+        double at;
+        double closedAt = Double.POSITIVE_INFINITY;
+        double endedAt = Double.POSITIVE_INFINITY; // of the session that came of it
+        Fate fate = Fate.OPEN;
+    }
+
+    private static final class Ask {
+        String gateway;
+        Band band;
+        double at;
+        double answeredAt = Double.NaN;
+        int answers;
+        int status;
+        String play;
+        boolean gone; // the viewer closed it of its own accord
+    }
+
+    private record Told(double at, HostLine.Standing standing) { }
+
+    private record Life(double from, double to) { }
+
+    private final Rules rules;
+    private final List<Leg> legs = new ArrayList<>();
+    private final Map<String, Leg> current = new HashMap<>();
+    private final Map<Long, Ask> asks = new LinkedHashMap<>();
+    private final Map<String, Map<String, List<Told>>> told = new TreeMap<>(); // gateway, host
+    private final Map<String, List<Life>> lives = new TreeMap<>(); // of gateways
+    private final Map<String, Integer> slots = new HashMap<>();
+    private final Map<String, List<Double>> starts = new TreeMap<>(); // cold starts of hosts
+    private final List<String> rungs = new ArrayList<>(); // rungs under the floor
+    private final List<Double> fellAt = new ArrayList<>();
+    private long changes;
+
+    public Auditor(Rules rules) {
+        this.rules = rules;
+    }
+
+    // ---- What is seen
+
+    public synchronized void host(String host, int atMost) {
+        slots.put(host, atMost);
+    }
+
+    /** A host started just now and is cold. */
+    public synchronized void hostStarted(String host, double at) {
+        starts.computeIfAbsent(host, k -> new ArrayList<>()).add(at);
+    }
+
+    /** A host fell over for what was sent to it. */
+    public synchronized void hostFell(String host, double at) {
+        fellAt.add(at);
+    }
+
+    public synchronized void gatewayUp(String gateway, double at) {
+        lives.computeIfAbsent(gateway, k -> new ArrayList<>()).add(new Life(at, Double.POSITIVE_INFINITY));
+    }
+
+    public synchronized void gatewayKilled(String gateway, double at) {
+        List<Life> l = lives.get(gateway);
+        if (l != null && !l.isEmpty()) {
+            l.set(l.size() - 1, new Life(l.get(l.size() - 1).from(), at));
+        }
+    }
+
+    public synchronized void listTold(String gateway, String host, HostLine.Standing standing, double at) {
+        told.computeIfAbsent(gateway, k -> new TreeMap<>()).computeIfAbsent(host, k -> new ArrayList<>())
+            .add(new Told(at, standing));
+    }
+
+    /**
+     * A set-up reached a host.
+     *
+     * @param play as the gateway names it to its hosts
+     */
+    public synchronized void legCame(String gateway, String play, int number, String host, String band, long title,
+                                     int rung, double at) {
+        Leg l = new Leg();
+        l.gateway = gateway;
+        l.play = play;
+        l.number = number;
+        l.host = host;
+        l.band = band;
+        l.title = title;
+        l.rung = rung;
+        l.at = at;
+        legs.add(l);
+        current.put(play + " " + host, l);
+    }
+
+    public synchronized void legOver(String play, String host, Fate fate, double at) {
+        Leg l = current.get(play + " " + host);
+        if (l != null && l.fate == Fate.OPEN) {
+            l.fate = fate;
+            l.closedAt = at;
+        }
+    }
+
+    public synchronized void sessionOver(String play, String host, double at) {
+        Leg l = current.remove(play + " " + host);
+        if (l != null) {
+            l.endedAt = Math.min(l.endedAt, at);
+            if (l.fate == Fate.OPEN) {
+                l.fate = Fate.LOST;
+                l.closedAt = at;
+            }
+        }
+    }
+
+    public synchronized void rungChanged(String play, String host, String band, int rung, double at) {
+        changes++;
+        Band b = rules.bands().get(band);
+        if (b != null && rung < b.floor()) {
+            rungs.add(play + " on " + host + " changed to rung " + rung + ", its floor is " + b.floor());
+        }
+    }
+
+    public synchronized void asked(long request, String gateway, String band, double at) {
+        Ask a = new Ask();
+        a.gateway = gateway;
+        a.band = rules.bands().get(band);
+        a.at = at;
+        asks.put(request, a);
+    }
+
+    public synchronized void answered(long request, int status, String play, double at) {
+        Ask a = asks.get(request);
+        if (a != null) {
+            a.answers++;
+            a.status = status;
+            a.play = play;
+            a.answeredAt = Double.isNaN(a.answeredAt) ? at : a.answeredAt;
+        }
+    }
+
+    /** The connection ended without an answer, or the viewer's hard stop came first. */
+    public synchronized void unanswered(long request, double at) {
+        Ask a = asks.get(request);
+        if (a != null && a.answers == 0) {
+            a.answeredAt = at;
+        }
+    }
+
+    public synchronized void viewerLeft(long request) {
+        Ask a = asks.get(request);
+        if (a != null) {
+            a.gone = true;
+        }
+    }
+
+    // ---- What it comes to
+
+    /** Requests by how they were answered: "served", "shed", "errored", "unanswered". */
+    public synchronized Map<String, Long> counts() {
+        Map<String, Long> n = new LinkedHashMap<>(Map.of("served", 0L));
+        for (String k : List.of("shed", "errored", "left", "unanswered")) {
+            n.put(k, 0L);
+        }
+        for (Ask a : asks.values()) {
+            String k = a.answers > 0 ? a.status == 200 ? "served" : a.status == 503 ? "shed" : "errored"
+                : a.gone ? "left" : "unanswered";
+            n.merge(k, 1L, Long::sum);
+        }
+        return n;
+    }
+
+    public synchronized int legCount() {
+        return legs.size();
+    }
+
+    public synchronized List<Verdict> verdicts(double end) {
+        return List.of(answeredOnce(end), setUpOnce(), drainsKept(), noneCold(), termsKept(), rationKept());
+    }
+
+    private static String ms(double v) {
+        return String.format(Locale.ROOT, "%.0f ms", v);
+    }
+
+    private boolean killedBetween(String gateway, double from, double to) {
+        return lives.getOrDefault(gateway, List.of()).stream()
+            .noneMatch(l -> l.from() <= from && l.to() >= to);
+    }
+
+    private Verdict answeredOnce(double end) {
+        List<String> broken = new ArrayList<>();
+        long checked = 0;
+        for (Map.Entry<Long, Ask> e : asks.entrySet()) {
+            Ask a = e.getValue();
+            double stop = a.at + a.band.hardStopMs();
+            double until = Double.isNaN(a.answeredAt) ? Math.min(stop, end) : a.answeredAt;
+            if (a.gone || killedBetween(a.gateway, a.at - rules.slackMs(), until + rules.slackMs())) {
+                continue; // what a killed gateway held is no longer its duty
+            }
+            checked++;
+            if (a.answers > 1) {
+                broken.add("request " + e.getKey() + " to " + a.gateway + " was answered " + a.answers + " times");
+            } else if (a.answers == 0 && stop < end) {
+                broken.add("request " + e.getKey() + " to " + a.gateway + " was not answered in "
+                    + ms(a.band.hardStopMs()));
+            } else if (a.answers == 1 && a.answeredAt > stop + rules.slackMs()) {
+                broken.add("request " + e.getKey() + " to " + a.gateway + " was answered " + ms(a.answeredAt - stop)
+                    + " after its hard stop");
+            }
+        }
+        return new Verdict("1 one answer in time", checked, broken);
+    }
+
+    private Verdict setUpOnce() {
+        List<String> broken = new ArrayList<>();
+        Map<String, List<Leg>> byPlay = new LinkedHashMap<>();
+        legs.forEach(l -> byPlay.computeIfAbsent(l.gateway + " " + l.play, k -> new ArrayList<>()).add(l));
+        byPlay.forEach((play, all) -> {
+            all.sort(Comparator.comparingDouble(l -> l.at));
+            boolean paid = rules.bands().get(all.get(0).band).paid();
+            for (int i = 1; i < all.size(); i++) {
+                Leg before = all.get(i - 1);
+                Leg now = all.get(i);
+                if (before.closedAt > now.at + rules.slackMs()) {
+                    broken.add(play + " had two legs out, on " + before.host + " and " + now.host);
+                }
+                if (paid && before.fate != Fate.TURNED_AWAY) {
+                    broken.add("paid " + play + " was set up again on " + now.host + " after its leg on " + before.host
+                        + " was " + before.fate);
+                }
+            }
+        });
+        for (Ask a : asks.values()) {
+            List<Leg> all = a.play == null ? null : byPlay.get(a.gateway + " " + a.play);
+            if (a.status == 503 && a.band.paid() && all != null
+                && all.stream().anyMatch(l -> l.fate != Fate.TURNED_AWAY)) {
+                broken.add("paid " + a.play + " was shed although a leg of it may have run");
+            }
+        }
+        return new Verdict("2 nothing paid twice, one leg out", byPlay.size(), broken);
+    }
+
+    private Verdict drainsKept() {
+        List<String> broken = new ArrayList<>();
+        for (Leg l : legs) {
+            double since = Double.NaN;
+            for (Told t : told.getOrDefault(l.gateway, Map.of()).getOrDefault(l.host, List.of())) {
+                if (t.at() > l.at) {
+                    break;
+                }
+                boolean off = t.standing() != HostLine.Standing.READY;
+                since = !off ? Double.NaN : Double.isNaN(since) ? t.at() : since;
+            }
+            for (Life life : lives.getOrDefault(l.gateway, List.of())) { // a new life was told by its new list
+                if (life.from() > since && life.from() <= l.at) {
+                    since = Double.NaN;
+                }
+            }
+            if (l.at > since + rules.graceMs() + rules.slackMs()) {
+                broken.add(l.gateway + " sent " + l.play + " to " + l.host + " " + ms(l.at - since)
+                    + " after being told that it drains or is gone");
+            }
+        }
+        return new Verdict("3 drains kept", legs.size(), broken);
+    }
+
+    private Verdict noneCold() {
+        List<String> broken = new ArrayList<>();
+        long checked = 0;
+        double fall = rules.cold().fallMs();
+        for (Map.Entry<String, List<Double>> e : starts.entrySet()) {
+            for (double start : e.getValue()) {
+                List<Double> at = legs.stream().filter(l -> l.host.equals(e.getKey()) && l.at >= start
+                    && l.at < start + rules.cold().warmMs()).map(l -> l.at).sorted().toList();
+                checked += at.size();
+                for (int i = 0; i < at.size(); i++) {
+                    int n = i;
+                    while (n < at.size() && at.get(n) <= at.get(i) + fall) {
+                        n++;
+                    }
+                    double most = rules.cold().multiple() * slots.getOrDefault(e.getKey(), 1) / rules.cold().warmMs()
+                        * rules.cold().warmth(start, at.get(i) + fall) * fall + 1;
+                    if (n - i > most) {
+                        broken.add(e.getKey() + " was sent " + (n - i) + " set-ups in " + ms(fall) + " when cold, "
+                            + String.format(Locale.ROOT, "%.1f", most) + " at most");
+                        break;
+                    }
+                }
+            }
+        }
+        fellAt.forEach(t -> broken.add("a cold host fell over"));
+        return new Verdict("4 no cold host pushed over", checked, broken);
+    }
+
+    private Verdict termsKept() {
+        List<String> broken = new ArrayList<>(rungs);
+        Map<String, List<Leg>> seats = new LinkedHashMap<>();
+        for (Leg l : legs) {
+            Band b = rules.bands().get(l.band);
+            if (l.rung < b.floor()) {
+                broken.add(l.play + " was set up at rung " + l.rung + ", its floor is " + b.floor());
+            }
+            if (b.seats() > 0) {
+                seats.computeIfAbsent(l.gateway + " " + l.title + " " + l.band, k -> new ArrayList<>()).add(l);
+            }
+        }
+        seats.forEach((which, all) -> {
+            int most = rules.bands().get(all.get(0).band).seats();
+            for (Leg l : all) { // held while it is out or plays; ends may be seen here a little late
+                long held = all.stream().filter(o -> o.at <= l.at && until(o) > l.at + rules.slackMs()).count();
+                if (held > most) {
+                    broken.add(which + ": " + held + " plays held, " + most + " seats");
+                }
+            }
+        });
+        return new Verdict("5 floors and seats kept", legs.size() + changes, broken);
+    }
+
+    private double until(Leg l) {
+        double killed = lives.getOrDefault(l.gateway, List.of()).stream().filter(x -> x.from() <= l.at && x.to() >= l.at)
+            .mapToDouble(Life::to).min().orElse(Double.POSITIVE_INFINITY);
+        return Math.min(killed, l.fate == Fate.SERVED ? l.endedAt : l.closedAt);
+    }
+
+    private Verdict rationKept() {
+        List<String> broken = new ArrayList<>();
+        if (rules.legs().share() < 0) {
+            return new Verdict("6 further legs within budget", 0, broken);
+        }
+        Map<String, List<Double>> takes = new TreeMap<>();
+        Map<String, List<Double>> further = new TreeMap<>();
+        Map<String, Double> firstSeen = new HashMap<>();
+        for (Ask a : asks.values()) {
+            if (a.play != null) {
+                firstSeen.merge(a.gateway + " " + a.play, a.at, Math::min);
+            }
+        }
+        for (Leg l : legs) {
+            firstSeen.merge(l.gateway + " " + l.play, l.at, Math::min);
+            if (l.number > 0) {
+                further.computeIfAbsent(l.gateway, k -> new ArrayList<>()).add(l.at);
+            }
+        }
+        firstSeen.forEach((play, at) -> takes.computeIfAbsent(play.substring(0, play.indexOf(' ')),
+            k -> new ArrayList<>()).add(at));
+        Set<String> said = new HashSet<>();
+        further.forEach((gateway, at) -> {
+            at.sort(null);
+            for (double end : at) {
+                double from = end - rules.legs().spanMs();
+                long legsIn = at.stream().filter(t -> t > from && t <= end).count();
+                long takesIn = takes.getOrDefault(gateway, List.of()).stream()
+                    .filter(t -> t > from - rules.slackMs() && t <= end + rules.slackMs()).count();
+                double most = rules.legs().spare() + rules.legs().share() * takesIn;
+                if (legsIn > most && said.add(gateway + Math.floor(end / 1000))) {
+                    broken.add(gateway + " sent " + legsIn + " further legs in " + ms(rules.legs().spanMs()) + ", "
+                        + String.format(Locale.ROOT, "%.1f", most) + " allowed");
+                }
+            }
+        });
+        return new Verdict("6 further legs within budget", further.values().stream().mapToLong(List::size).sum(), broken);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
@@ -0,0 +1,313 @@
+package walnutfield.standin.day;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import walnutfield.hosts.HostEntry;
+import walnutfield.net.Clock;
+import walnutfield.play.Band;
+import walnutfield.play.HostId;
+import walnutfield.play.HostLine;
+import walnutfield.play.PlaceId;
+import walnutfield.standin.HostPlan;
+import walnutfield.standin.ListService;
+import walnutfield.standin.MediaHosts;
+import walnutfield.standin.Viewers;
+import walnutfield.standin.audit.Auditor;
+import walnutfield.standin.audit.Verdict;
+
+/** Plays a day on real sockets: hosts, list, gateways, viewers, faults; then audits it. */
+public final class Rehearsal {
+    private static final Logger LOG = LoggerFactory.getLogger(Rehearsal.class);
+    private static final double SETTLE_MS = 400;
+    private static final double POLL_MS = 400;
+    private static final double DRAIN_MS = 8000;
+
+    /**
+     * What a day came to.
+     *
+     * @param plays requests by how they were answered
+     */
+    public record Outcome(List<Verdict> verdicts, Map<String, Long> plays, int legs, List<Long> viewers) {
+        public long broken() {
+            return verdicts.stream().mapToLong(v -> v.broken().size()).sum();
+        }
+    }
+
+    private final Day day;
+    private final Rig rig;
+    private final Auditor auditor;
+    private final SplittableRandom random;
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(4, r -> {
+        Thread t = new Thread(r, "day");
+        t.setDaemon(true);
+        return t;
+    });
+    private final List<Rig.Running> gateways = new ArrayList<>(); // null while one is down
+    private MediaHosts hosts;
+    private ListService list;
+    private Viewers viewers;
+    private volatile double listLateMs;
+    private volatile double crowdTimes = 1;
+
+    public Rehearsal(Day day, Rig rig) {
+        this.day = day;
+        this.rig = rig;
+        auditor = new Auditor(day.rules());
+        random = new SplittableRandom(day.seed());
+        listLateMs = day.listLateMs();
+    }
+
+    public Outcome run() throws IOException, InterruptedException {
+        hosts = new MediaHosts(day.hosts(), day.hostTerms(), day.seed() + 1, auditor);
+        list = new ListService(auditor);
+        try {
+            for (HostPlan p : day.hosts()) {
+                list.publish(entry(p, HostLine.Standing.READY, 0));
+            }
+            for (int i = 0; i < day.gateways(); i++) {
+                gateways.add(null);
+                up(i);
+            }
+            viewers = new Viewers(new Viewers.Habits(day.crowd().returns(), day.crowd().twice(),
+                day.crowd().impatient(), POLL_MS), day.seed() + 2, this::gate, auditor);
+            Thread.sleep((long) SETTLE_MS);
+            double begin = Clock.now();
+            for (Fault f : day.faults()) {
+                at(begin + f.atMs(), () -> befalls(f, true));
+                if (f.forMs() > 0) {
+                    at(begin + f.atMs() + f.forMs(), () -> befalls(f, false));
+                }
+            }
+            arrive(begin, begin);
+            Thread.sleep((long) day.lengthMs());
+            viewers.lastCall();
+            double longest = day.rules().bands().values().stream().mapToDouble(Band::hardStopMs).max().orElse(0);
+            double until = Clock.now() + longest + 1000;
+            while (viewers.open() > 0 && Clock.now() < until) {
+                Thread.sleep(20);
+            }
+            double end = Clock.now();
+            return new Outcome(auditor.verdicts(end), auditor.counts(), auditor.legCount(), viewers.figures());
+        } finally {
+            timers.shutdownNow();
+            if (viewers != null) {
+                viewers.close();
+            }
+            synchronized (gateways) {
+                for (Rig.Running g : gateways) {
+                    if (g != null) {
+                        g.kill();
+                    }
+                }
+            }
+            list.close();
+            hosts.close();
+        }
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    private void at(double time, Task task) {
+        timers.schedule(() -> {
+            try {
+                task.run();
+            } catch (IOException | RuntimeException e) {
+                LOG.atError().setCause(e).log("the day went wrong");
+            }
+        }, (long) Math.max(0, (time - Clock.now()) * 1000), TimeUnit.MICROSECONDS);
+    }
+
+    /** Arrivals are drawn ahead and do not wait for answers. */
+    private void arrive(double begin, double now) {
+        double gap;
+        long title;
+        Band band;
+        int best;
+        synchronized (random) {
+            gap = -Math.log(1 - random.nextDouble()) * 1000 / (day.crowd().perS() * crowdTimes);
+            title = title(random.nextDouble());
+            band = band(random.nextDouble());
+            int rungs = day.hostTerms().ladder().kb().size();
+            best = random.nextDouble() < day.crowd().weakest() ? Math.max(band.floor(), rungs / 2 - 1) : rungs - 1;
+        }
+        double next = now + gap;
+        if (next < begin + day.lengthMs()) {
+            at(next, () -> {
+                viewers.come(title, band, best);
+                arrive(begin, next);
+            });
+        }
+    }
+
+    private long title(double draw) {
+        List<Crowd.TitlePlan> all = day.crowd().titles();
+        double sum = 0;
+        for (int i = 0; i < all.size(); i++) {
+            sum += Math.pow(i + 1, -day.crowd().skew());
+        }
+        double left = draw * sum;
+        for (int i = 0; i < all.size(); i++) {
+            left -= Math.pow(i + 1, -day.crowd().skew());
+            if (left <= 0) {
+                return all.get(i).id();
+            }
+        }
+        return all.get(all.size() - 1).id();
+    }
+
+    private Band band(double draw) {
+        double left = draw * day.crowd().mix().values().stream().mapToDouble(w -> w).sum();
+        Band last = null;
+        for (Map.Entry<String, Double> e : day.crowd().mix().entrySet()) {
+            last = day.rules().bands().get(e.getKey());
+            left -= e.getValue();
+            if (left <= 0) {
+                break;
+            }
+        }
+        return last;
+    }
+
+    private Viewers.Gate gate() {
+        synchronized (gateways) {
+            List<Integer> up = new ArrayList<>();
+            for (int i = 0; i < gateways.size(); i++) {
+                if (gateways.get(i) != null) {
+                    up.add(i);
+                }
+            }
+            if (up.isEmpty()) {
+                return null;
+            }
+            int i;
+            synchronized (random) {
+                i = up.get(random.nextInt(up.size()));
+            }
+            return new Viewers.Gate("gw" + i, gateways.get(i).port());
+        }
+    }
+
+    private void up(int i) throws IOException {
+        Rig.Running g = rig.start("gw" + i, i, new InetSocketAddress("127.0.0.1", list.port()));
+        synchronized (gateways) {
+            gateways.set(i, g);
+        }
+        auditor.gatewayUp("gw" + i, Clock.now());
+    }
+
+    private Rig.Running takeOut(int i) {
+        synchronized (gateways) {
+            return gateways.set(i, null);
+        }
+    }
+
+    private HostEntry entry(HostPlan p, HostLine.Standing standing, double started) {
+        return new HostEntry(new HostLine(new HostId(p.name()), new PlaceId(p.place()), p.slots(), p.cell(), standing,
+            p.listed(), started), new InetSocketAddress("127.0.0.1", hosts.port(p.name())));
+    }
+
+    private void tell(HostPlan p, HostLine.Standing standing, double started) {
+        at(Clock.now() + listLateMs, () -> list.publish(entry(p, standing, started)));
+    }
+
+    private void befalls(Fault f, boolean begins) throws IOException {
+        LOG.atInfo().addKeyValue("fault", f.kind()).addKeyValue("begins", begins).addKeyValue("first", f.first())
+            .addKeyValue("count", f.count()).addKeyValue("amount", f.amount()).log("fault");
+        switch (f.kind()) {
+            case LIST_LOST -> list.lost(begins);
+            case LIST_LATE -> listLateMs = day.listLateMs() + (begins ? f.amount() : 0);
+            case CROWD -> crowdTimes = begins ? f.amount() : 1;
+            case GATEWAY_KILLED, GATEWAY_STALLED, GATEWAY_DRAINED -> {
+                for (int i = 0; i < f.count(); i++) {
+                    gateway(f, (f.first() + i) % day.gateways(), begins);
+                }
+            }
+            default -> {
+                for (int i = 0; i < f.count(); i++) {
+                    host(f, day.hosts().get((f.first() + i) % day.hosts().size()), begins);
+                }
+            }
+        }
+    }
+
+    private void gateway(Fault f, int i, boolean begins) throws IOException {
+        switch (f.kind()) {
+            case GATEWAY_KILLED -> {
+                if (begins) {
+                    Rig.Running g = takeOut(i);
+                    if (g != null) {
+                        auditor.gatewayKilled("gw" + i, Clock.now());
+                        g.kill();
+                    }
+                } else {
+                    up(i);
+                }
+            }
+            case GATEWAY_DRAINED -> {
+                if (begins) {
+                    Rig.Running g = takeOut(i);
+                    if (g != null) {
+                        g.drain(DRAIN_MS);
+                        auditor.gatewayKilled("gw" + i, Clock.now());
+                    }
+                } else {
+                    up(i);
+                }
+            }
+            default -> {
+                Rig.Running g;
+                synchronized (gateways) {
+                    g = gateways.get(i);
+                }
+                if (begins && g != null) {
+                    g.stall(f.forMs());
+                }
+            }
+        }
+    }
+
+    private void host(Fault f, HostPlan p, boolean begins) throws IOException {
+        String name = p.name();
+        switch (f.kind()) {
+            case DEAD -> {
+                if (begins) {
+                    hosts.crash(name);
+                    tell(p, HostLine.Standing.GONE, 0);
+                } else {
+                    hosts.restart(name);
+                    tell(p, HostLine.Standing.READY, hosts.startedAt(name));
+                }
+            }
+            case DRAIN -> {
+                if (begins) {
+                    tell(p, HostLine.Standing.DRAINING, 0);
+                } else {
+                    hosts.crash(name);
+                    tell(p, HostLine.Standing.GONE, 0);
+                    at(Clock.now() + f.amount(), () -> {
+                        hosts.restart(name);
+                        tell(p, HostLine.Standing.READY, hosts.startedAt(name));
+                    });
+                }
+            }
+            case SILENT -> hosts.silent(name, begins);
+            case STANDING -> hosts.standing(name, begins);
+            case FAILING -> hosts.failing(name, begins ? f.amount() : 0);
+            case SLOW -> hosts.slow(name, begins ? f.amount() : 0);
+            case ANSWERS_LOST -> hosts.answersLost(name, begins);
+            case WEAK_LINK -> hosts.link(name, begins ? f.amount() : 1);
+            default -> throw new IllegalStateException("no fault of hosts: " + f.kind());
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/walnutfield/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the outside: media hosts, the list service, viewers. Their figures are simulated. */
+package walnutfield.standin;
