--- /dev/null
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -0,0 +1,156 @@
+package walnutfield.app;
+
+import ch.qos.logback.classic.Level;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import walnutfield.bench.Adapter;
+import walnutfield.gateway.GatewayServer;
+import walnutfield.play.Ladder;
+import walnutfield.standin.audit.Verdict;
+import walnutfield.standin.day.Rehearsal;
+
+/** The program: one subcommand for each way of running it. */
+@Command(name = "walnutfield", mixinStandardHelpOptions = true, version = "walnutfield 0.2.0",
+    description = "A session front: decides which media host takes each play and at what quality.",
+    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class,
+        Main.SchemaCommand.class})
+public final class Main {
+    private static final int BAD_INPUT = 2;
+
+    private Main() { }
+
+    public static void main(String[] args) {
+        System.exit(line().execute(args));
+    }
+
+    static CommandLine line() {
+        CommandLine c = new CommandLine(new Main());
+        c.setExecutionExceptionHandler((e, command, parsed) -> {
+            command.getErr().println(e instanceof BadSettings ? e.getMessage() : "failed: " + e);
+            return e instanceof BadSettings ? BAD_INPUT : 1;
+        });
+        return c;
+    }
+
+    /** Runs one gateway until it is told to end. */
+    @Command(name = "gateway", mixinStandardHelpOptions = true, description = "Runs one gateway until SIGTERM.")
+    static final class GatewayCommand implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "CONFIG.xml")
+        private Path file;
+
+        @Override
+        public Integer call() throws Exception {
+            Logs.to(null, Level.INFO);
+            Xml root = Xml.read(file, "gateway");
+            Ladder ladder = Settings.ladder(root);
+            GatewayServer g = new GatewayServer(root.text("name"), Settings.front(root), Settings.hosts(root),
+                Settings.list(root), Settings.catalogue(root, ladder, Settings.bands(root, ladder.kb().size())),
+                Settings.desks(root, Settings.post(root), ladder, Settings.links(root), Settings.shares(root)));
+            CountDownLatch ended = new CountDownLatch(1);
+            double drainMs = root.one("front").number("drain-ms");
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                try {
+                    g.drain(drainMs);
+                } catch (IOException e) {
+                    System.err.println("drain: " + e);
+                }
+                ended.countDown();
+            }, "drain"));
+            System.out.println("listening on 127.0.0.1:" + g.start());
+            ended.await();
+            return 0;
+        }
+    }
+
+    /** Plays a scripted day on real sockets and audits it. */
+    @Command(name = "rehearse", mixinStandardHelpOptions = true,
+        description = "Plays a scripted day with stand-ins on loopback sockets and audits the six rules.")
+    static final class RehearseCommand implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "SCRIPT.xml")
+        private Path file;
+
+        @Option(names = "--seed", description = "in place of the script's")
+        private Long seed;
+
+        @Option(names = "--gateways", description = "in place of the script's")
+        private Integer gateways;
+
+        @Option(names = "--hosts", description = "in place of the script's")
+        private Integer hosts;
+
+        @Option(names = "--out", paramLabel = "DIR", description = "keeps the log and the verdicts there")
+        private Path out;
+
+        @Option(names = "--show", description = "prints one viewer's playlist")
+        private boolean show;
+
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            Script script = new Script(Xml.read(file, "day"), new Script.Instead(seed, gateways, hosts));
+            if (out != null) {
+                Files.createDirectories(out);
+            }
+            Logs.to(out == null ? null : out.resolve("log.json"), out == null ? Level.ERROR : Level.INFO);
+            Rehearsal.Outcome o = new Rehearsal(script.day(), script.rig()).run();
+            StringBuilder text = new StringBuilder();
+            if (show) {
+                text.append(o.playlist());
+            }
+            for (Verdict v : o.verdicts()) {
+                text.append(v.broken().isEmpty() ? "kept   " : "BROKEN ").append(v.rule()).append(": ")
+                    .append(v.checked()).append(" checked, ").append(v.broken().size()).append(" broken\n");
+                v.broken().stream().limit(5).forEach(b -> text.append("         ").append(b).append('\n'));
+            }
+            text.append("viewers (simulated): segments ").append(o.viewers().get(0)).append(", not got ")
+                .append(o.viewers().get(1)).append(", watched whole ").append(o.viewers().get(2)).append(", broken off ")
+                .append(o.viewers().get(3)).append(", malformed playlists ").append(o.viewers().get(4))
+                .append("; legs ").append(o.legs()).append('\n');
+            Map<String, Long> n = o.plays();
+            long all = n.values().stream().mapToLong(x -> x).sum();
+            text.append("rules broken: ").append(o.broken()).append("; plays ").append(all).append(" served ")
+                .append(n.get("served")).append(" shed ").append(n.get("shed")).append(" errored ")
+                .append(n.get("errored")).append('\n');
+            spec.commandLine().getOut().print(text);
+            spec.commandLine().getOut().flush();
+            if (out != null) {
+                Files.writeString(out.resolve("verdicts.txt"), text);
+            }
+            return o.broken() == 0 ? 0 : 1;
+        }
+    }
+
+    /** The bench's wire, for whoever has only this jar. */
+    @Command(name = "adapter", mixinStandardHelpOptions = true,
+        description = "Speaks the bench's wire on standard input and output.")
+    static final class AdapterCommand implements Callable<Integer> {
+        @Override
+        public Integer call() throws Exception {
+            return Adapter.run(System.in, System.out, System.err);
+        }
+    }
+
+    /** The schema of settings and scripts. */
+    @Command(name = "schema", mixinStandardHelpOptions = true, description = "Prints the schema of all settings.")
+    static final class SchemaCommand implements Callable<Integer> {
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            spec.commandLine().getOut().print(Xml.schema());
+            spec.commandLine().getOut().flush();
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/walnutfield/app/Script.java
@@ -0,0 +1,135 @@
+package walnutfield.app;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import walnutfield.gateway.Catalogue;
+import walnutfield.gateway.GatewayServer;
+import walnutfield.gateway.Terms;
+import walnutfield.play.Band;
+import walnutfield.play.Ladder;
+import walnutfield.play.LinkTerms;
+import walnutfield.play.PlaceId;
+import walnutfield.play.Post;
+import walnutfield.play.TitleId;
+import walnutfield.standin.HostPlan;
+import walnutfield.standin.HostTerms;
+import walnutfield.standin.audit.Rules;
+import walnutfield.standin.day.Crowd;
+import walnutfield.standin.day.Day;
+import walnutfield.standin.day.Fault;
+import walnutfield.standin.day.Rig;
+
+/** A day's script: what the stand-ins take of it, and how the gateways are set up for it. */
+final class Script {
+    private static final String PLACE = "here";
+    private final Xml root;
+    private final Day day;
+    private final Ladder ladder;
+    private final Map<String, Band> bands;
+    private final LinkTerms links;
+    private final Catalogue catalogue;
+
+    /** What the command line puts in place of the script's own; null for nothing. */
+    record Instead(Long seed, Integer gateways, Integer hosts) { }
+
+    Script(Xml root, Instead instead) throws BadSettings {
+        this.root = root;
+        ladder = Settings.ladder(root);
+        bands = Settings.bands(root, ladder.kb().size());
+        long seed = instead.seed() != null ? instead.seed() : root.longWhole("seed");
+        int gateways = instead.gateways() != null ? instead.gateways() : root.whole("gateways");
+        Xml fleet = root.one("fleet");
+        int count = instead.hosts() != null ? instead.hosts() : fleet.whole("hosts");
+        int racks = Math.min(count, fleet.whole("racks"));
+        SplittableRandom random = new SplittableRandom(seed);
+        List<HostPlan> hosts = new ArrayList<>();
+        double[] rackKb = new double[racks];
+        double linkKb = fleet.number("link-kb");
+        for (int i = 0; i < count; i++) {
+            double kb = linkKb * (1 + fleet.number("link-spread") * (2 * random.nextDouble() - 1));
+            hosts.add(new HostPlan("host-" + (i + 1), PLACE, i, i % racks, kb, fleet.whole("slots"), 1));
+            rackKb[i % racks] += linkKb * fleet.number("rack-part");
+        }
+        double meanRack = 0;
+        List<Double> uplinks = new ArrayList<>();
+        for (int r = 0; r < racks; r++) {
+            meanRack += rackKb[r] / racks;
+            uplinks.add(rackKb[r] * (1 + fleet.number("rack-spread") * (2 * random.nextDouble() - 1)));
+        }
+        boolean uplinked = fleet.number("rack-part") > 0;
+        links = new LinkTerms(linkKb * count, 0, uplinked ? meanRack : 0, racks, count, false);
+        Xml titles = root.one("titles");
+        List<Crowd.TitlePlan> plans = new ArrayList<>();
+        Map<TitleId, Catalogue.Title> known = new HashMap<>();
+        double length = titles.whole("segments") * titles.number("segment-s") * 1000;
+        for (int i = 0; i < titles.whole("count"); i++) {
+            int holders = Math.min(count, titles.whole("holders"));
+            int cell = random.nextInt(count);
+            plans.add(new Crowd.TitlePlan(i + 1, cell, holders));
+            known.put(new TitleId(i + 1), new Catalogue.Title(new TitleId(i + 1), cell, holders, length));
+        }
+        catalogue = new Catalogue(known, bands, ladder);
+        Xml viewers = root.one("viewers");
+        Map<String, Double> mix = new LinkedHashMap<>();
+        root.one("bands").all("band").forEach(b -> mix.put(b.text("name"), b.number("weight")));
+        Crowd crowd = new Crowd(viewers.number("per-s"), mix, titles.number("skew"), viewers.number("returns"),
+            viewers.number("twice"), viewers.number("impatient"), viewers.number("weakest"), plans);
+        HostTerms terms = new HostTerms(ladder, bands, Settings.cold(root), uplinked ? uplinks : List.of(),
+            fleet.number("guard"), fleet.number("work-ms"), fleet.number("off-ladder"), fleet.number("refresh-ms"),
+            fleet.number("noise"), fleet.number("late-ms"), fleet.number("tell-ms"), titles.number("segment-s"),
+            titles.whole("segments"), viewers.number("idle-ms"));
+        Rules rules = new Rules(bands, Settings.legs(root), Settings.cold(root),
+            root.one("drains").number("grace-ms"), root.number("slack-ms"));
+        double lengthMs = root.number("seconds") * 1000;
+        List<Fault> faults = new ArrayList<>();
+        for (Xml f : root.one("faults").all("fault")) {
+            Fault.Kind kind = Fault.Kind.valueOf(f.text("kind").toUpperCase(Locale.ROOT).replace('-', '_'));
+            Fault fault = new Fault(kind, f.number("at-s") * 1000, f.number("for-s") * 1000, f.whole("first"),
+                f.whole("count"), f.number("amount"));
+            if (fault.atMs() + fault.forMs() > lengthMs) {
+                throw f.bad("the fault " + f.text("kind") + " ends after the day");
+            }
+            faults.add(fault);
+        }
+        day = new Day(seed, lengthMs, gateways, root.number("list-late-ms"), hosts, terms, crowd, rules, faults);
+    }
+
+    Day day() {
+        return day;
+    }
+
+    /** Gateways as they are. */
+    Rig rig() {
+        Terms.Front front = Settings.front(root);
+        Terms.Hosts hosts = Settings.hosts(root);
+        return (name, me, service) -> {
+            Post post = new Post(day.seed() * 1000 + me, me, day.gateways(), new PlaceId(PLACE));
+            GatewayServer g = new GatewayServer(name, front, hosts, new Terms.Lists(service, null, 500), catalogue,
+                Settings.desks(root, post, ladder, links, List.of()));
+            return new Gate(g, g.start());
+        };
+    }
+
+    /** A gateway that runs in a rehearsal. */
+    private record Gate(GatewayServer server, int port) implements Rig.Running {
+        @Override
+        public void kill() throws java.io.IOException {
+            server.close();
+        }
+
+        @Override
+        public void stall(double ms) {
+            server.stall(ms);
+        }
+
+        @Override
+        public void drain(double mostMs) throws java.io.IOException {
+            server.drain(mostMs);
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/walnutfield/app/Settings.java
@@ -0,0 +1,154 @@
+package walnutfield.app;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import walnutfield.desk.Desk;
+import walnutfield.gateway.Catalogue;
+import walnutfield.gateway.Terms;
+import walnutfield.net.Client;
+import walnutfield.net.Limits;
+import walnutfield.play.Band;
+import walnutfield.play.ColdTerms;
+import walnutfield.play.CustomerId;
+import walnutfield.play.Gateway;
+import walnutfield.play.Ladder;
+import walnutfield.play.LegTerms;
+import walnutfield.play.LinkTerms;
+import walnutfield.play.MoveTerms;
+import walnutfield.play.PlaceId;
+import walnutfield.play.Post;
+import walnutfield.play.ReportTerms;
+import walnutfield.play.Share;
+import walnutfield.play.ShedTerms;
+import walnutfield.play.TitleId;
+
+/** Cuts checked settings up into what each part takes; what the schema cannot say is refused here. */
+final class Settings {
+    private Settings() { }
+
+    static Ladder ladder(Xml root) throws BadSettings {
+        List<Double> kb = new ArrayList<>();
+        List<Double> credit = new ArrayList<>();
+        for (Xml r : root.one("rungs").all("rung")) {
+            if (!kb.isEmpty() && r.number("kb") <= kb.get(kb.size() - 1)) {
+                throw r.bad("a rung's rate is over that of the rung below");
+            }
+            kb.add(r.number("kb"));
+            credit.add(r.number("credit"));
+        }
+        return new Ladder(kb, credit, root.one("rungs").number("stall"));
+    }
+
+    static Map<String, Band> bands(Xml root, int rungs) throws BadSettings {
+        Map<String, Band> out = new LinkedHashMap<>();
+        for (Xml b : root.one("bands").all("band")) {
+            int top = Math.min(rungs - 1, b.whole("top"));
+            Band band = new Band(b.text("name"), b.number("expected-ms"), b.number("hard-stop-ms"), b.number("credit"),
+                b.flag("paid"), b.number("rates"), b.whole("floor"), top, b.whole("seats"));
+            if (band.floor() > top) {
+                throw b.bad("the floor of band " + band.name() + " is over its top rung, " + top);
+            }
+            if (band.expectedMs() > band.hardStopMs() || band.hardStopMs() <= 0) {
+                throw b.bad("the expected time of band " + band.name() + " is over its hard stop");
+            }
+            if (out.put(band.name(), band) != null) {
+                throw b.bad("band " + band.name() + " is given twice");
+            }
+        }
+        return out;
+    }
+
+    static LegTerms legs(Xml root) {
+        Xml l = root.one("legs");
+        return new LegTerms(l.whole("most"), l.number("spare"), l.number("share"), l.number("span-ms"));
+    }
+
+    static ColdTerms cold(Xml root) {
+        Xml c = root.one("cold");
+        return new ColdTerms(c.number("from"), c.number("warm-ms"), c.number("multiple"), c.number("fall-ms"));
+    }
+
+    /** Makes desks of these settings for one gateway among its fellows. */
+    static Function<Gateway, Desk> desks(Xml root, Post post, Ladder ladder, LinkTerms links, List<Share> shares) {
+        LegTerms legs = legs(root);
+        ColdTerms cold = cold(root);
+        ShedTerms shed = new ShedTerms(root.one("shed").number("most-hold-off-ms"));
+        Xml r = root.one("reports");
+        ReportTerms reports = new ReportTerms(r.flag("probes"), r.number("probe-price"), r.number("told-late-ms"),
+            r.flag("ask-for-list"));
+        MoveTerms moves = new MoveTerms(root.one("moves").number("price"));
+        return out -> new Desk(post, ladder, links, legs, cold, shed, reports, moves, shares, out, null);
+    }
+
+    static Terms.Front front(Xml root) {
+        Xml f = root.one("front");
+        Limits limits = new Limits(f.whole("connections"), f.whole("header-bytes"), f.whole("header-count"),
+            f.whole("body-bytes"), f.number("request-ms"), f.number("idle-connection-ms"), f.number("unread-ms"), 4);
+        return new Terms.Front(f.whole("port"), f.whole("selectors"), limits, f.whole("queue"), f.whole("joined"),
+            f.whole("retry-after-s"), f.number("ahead-s"), f.number("idle-ms"));
+    }
+
+    static Terms.Hosts hosts(Xml root) {
+        Xml h = root.one("host-client");
+        return new Terms.Hosts(new Client.Terms(h.number("dial-ms"), h.number("idle-ms"), h.whole("idle-most"),
+            h.whole("head-bytes"), h.whole("body-bytes")), h.whole("selectors"), h.number("probe-ms"),
+            h.number("silent-ms"));
+    }
+
+    static Terms.Lists list(Xml root) throws BadSettings {
+        Xml l = root.one("list");
+        String a = l.text("address");
+        int colon = a.lastIndexOf(':');
+        int port = Integer.parseInt(a.substring(colon + 1));
+        if (port < 1 || port > 65_535) {
+            throw l.bad("port " + port + " is none");
+        }
+        String kept = l.text("kept");
+        return new Terms.Lists(new InetSocketAddress(a.substring(0, colon), port),
+            kept.isEmpty() ? null : Path.of(kept), l.number("retry-ms"));
+    }
+
+    static Catalogue catalogue(Xml root, Ladder ladder, Map<String, Band> bands) throws BadSettings {
+        Map<TitleId, Catalogue.Title> titles = new HashMap<>();
+        for (Xml t : root.one("titles").all("title")) {
+            TitleId id = new TitleId(t.longWhole("id"));
+            if (titles.put(id, new Catalogue.Title(id, t.whole("first-cell"), t.whole("holders"),
+                t.number("length-ms"))) != null) {
+                throw t.bad("title " + id.value() + " is given twice");
+            }
+        }
+        return new Catalogue(titles, bands, ladder);
+    }
+
+    static LinkTerms links(Xml root) {
+        Xml l = root.one("links");
+        return new LinkTerms(l.number("all-kb"), l.number("unit-kb"), l.number("rack-kb"), l.whole("racks"),
+            l.whole("cells"), l.flag("size-listed"));
+    }
+
+    static List<Share> shares(Xml root) throws BadSettings {
+        Map<String, Share> out = new LinkedHashMap<>();
+        for (Xml s : root.has("shares") ? root.one("shares").all("share") : List.<Xml>of()) {
+            String name = s.text("customer");
+            if (out.put(name, new Share(new CustomerId(name), s.number("plays-per-s"), s.number("beyond"))) != null) {
+                throw s.bad("customer " + name + " is given twice");
+            }
+        }
+        return List.copyOf(out.values());
+    }
+
+    static Post post(Xml root) throws BadSettings {
+        if (root.whole("me") >= root.whole("gateways")) {
+            throw root.bad("gateway " + root.whole("me") + " is not among " + root.whole("gateways")
+                + ", which are numbered from 0");
+        }
+        return new Post(root.longWhole("seed"), root.whole("me"), root.whole("gateways"),
+            new PlaceId(root.text("place")));
+    }
+}
--- a/standins/src/main/java/walnutfield/standin/Viewers.java
+++ b/standins/src/main/java/walnutfield/standin/Viewers.java
@@ -50,6 +50,7 @@
     private final AtomicLong broken = new AtomicLong();
     private final AtomicLong malformed = new AtomicLong();
     private volatile boolean closing;
+    private volatile String sample = "";
 
     public Viewers(Habits habits, long seed, Supplier<Gate> gates, Auditor auditor) throws IOException {
         this.habits = habits;
@@ -85,6 +86,11 @@
         return List.of(segments.get(), missed.get(), watched.get(), broken.get(), malformed.get());
     }
 
+    /** The first whole playlist that a viewer followed, or the longest part of one. */
+    public String playlist() {
+        return sample;
+    }
+
     private double draw() {
         synchronized (random) {
             return random.nextDouble();
@@ -260,6 +266,9 @@
                 }
                 try {
                     list = PlaylistReader.media(body);
+                    if (!sample.endsWith("ENDLIST\n") && body.length() > sample.length()) {
+                        sample = body;
+                    }
                 } catch (PlaylistException e) {
                     malformed.incrementAndGet();
                     return;
@@ -289,13 +298,16 @@
             String at = media;
             get(new InetSocketAddress(uri.getHost(), uri.getPort()), uri.getRawPath() + "?" + uri.getRawQuery(),
                 (status, headers, body) -> later(0, () -> {
-                    fetching = false;
                     if (!at.equals(media) || over) {
+                        fetching = false;
                         return;
                     }
                     next++;
                     (status == 200 ? segments : missed).incrementAndGet();
-                    later(Math.max(0, plays - (Clock.now() - since)), this::fetch);
+                    later(Math.max(0, plays - (Clock.now() - since)), () -> { // it plays in real time
+                        fetching = false;
+                        fetch();
+                    });
                 }));
         }
     }
--- a/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
+++ b/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
@@ -34,9 +34,11 @@
     /**
      * What a day came to.
      *
-     * @param plays requests by how they were answered
+     * @param plays    requests by how they were answered
+     * @param playlist one viewer's, as last fetched
      */
-    public record Outcome(List<Verdict> verdicts, Map<String, Long> plays, int legs, List<Long> viewers) {
+    public record Outcome(List<Verdict> verdicts, Map<String, Long> plays, int legs, List<Long> viewers,
+                          String playlist) {
         public long broken() {
             return verdicts.stream().mapToLong(v -> v.broken().size()).sum();
         }
@@ -96,7 +98,8 @@
                 Thread.sleep(20);
             }
             double end = Clock.now();
-            return new Outcome(auditor.verdicts(end), auditor.counts(), auditor.legCount(), viewers.figures());
+            return new Outcome(auditor.verdicts(end), auditor.counts(), auditor.legCount(), viewers.figures(),
+                viewers.playlist());
         } finally {
             timers.shutdownNow();
             if (viewers != null) {
