--- /dev/null
+++ b/gateway/src/test/java/walnutfield/gateway/Outside.java
@@ -0,0 +1,231 @@
+package walnutfield.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import walnutfield.desk.Desk;
+import walnutfield.desk.Listener;
+import walnutfield.hosts.HostEntry;
+import walnutfield.hosts.HostList;
+import walnutfield.net.Client;
+import walnutfield.net.Exchange;
+import walnutfield.net.Headers;
+import walnutfield.net.Limits;
+import walnutfield.net.Server;
+import walnutfield.play.*;
+import walnutfield.sse.Event;
+
+/** All that is outside a gateway, held still: every request to a host or the list waits until the test answers it. */
+final class Outside implements AutoCloseable {
+    static final Band FREE = new Band("free", 1000, 4000, 1, false, 1, 0, 2, 0);
+    static final Band PAID = new Band("paid", 1000, 4000, 3, true, 1, 0, 2, 0);
+    static final Band SEATED = new Band("seated", 1000, 4000, 3, false, 1, 1, 2, 1);
+    private static final Limits LIMITS = new Limits(500, 8192, 60, 65_536, 5000, 60_000, 60_000, 4);
+    private static final Ladder LADDER = new Ladder(List.of(100.0, 200.0, 400.0), List.of(0.4, 0.7, 1.0), 8);
+
+    /** A request that reached a host. */
+    record Came(int host, Exchange x) {
+        String what() {
+            return x.request().method() + " " + x.request().path().replaceFirst("/sessions/[^/?]*", "/S");
+        }
+
+        String session() {
+            return x.request().path().split("/")[2];
+        }
+    }
+
+    final BlockingQueue<Came> came = new LinkedBlockingQueue<>();
+    final BlockingQueue<Exchange> follows = new LinkedBlockingQueue<>();
+    final List<String> calls = java.util.Collections.synchronizedList(new ArrayList<>());
+    private final Map<Integer, Server> hosts = new LinkedHashMap<>();
+    private final Map<Integer, Integer> ports = new LinkedHashMap<>();
+    private final Server lists;
+    private final int listPort;
+    private final HttpClient viewer = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    Exchange list;
+    GatewayServer gateway;
+    int port;
+    private long number;
+    private final ScheduledExecutorService beats = Executors.newSingleThreadScheduledExecutor();
+
+    /** So many hosts, each of which holds the one title. */
+    Outside(int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            int me = i;
+            Server s = new Server("h" + i, 1, LIMITS, x -> came.add(new Came(me, x)));
+            s.start();
+            hosts.put(i, s);
+            ports.put(i, s.bind(0));
+        }
+        lists = new Server("list", 1, LIMITS, follows::add);
+        lists.start();
+        listPort = lists.bind(0);
+    }
+
+    Outside start(int queue, Path kept) throws Exception {
+        Map<String, Band> bands = Map.of("free", FREE, "paid", PAID, "seated", SEATED);
+        Map<TitleId, Catalogue.Title> titles = Map.of(new TitleId(7), new Catalogue.Title(new TitleId(7), 0,
+            hosts.size(), 0));
+        Listener ear = new Listener() {
+            @Override public void called(double now, walnutfield.desk.Call call) {
+                calls.add(call.toString());
+            }
+
+            @Override public void resulted(double now, walnutfield.desk.Result result) { }
+        };
+        gateway = new GatewayServer("gw", new Terms.Front(0, 1, LIMITS, queue, 3, 2, 3, 60_000),
+            new Terms.Hosts(new Client.Terms(1000, 5000, 8, 16_384, 1 << 20), 1, 500, 700),
+            new Terms.Lists(new InetSocketAddress("127.0.0.1", listPort), kept, 100),
+            new Catalogue(titles, bands, LADDER),
+            out -> new Desk(new Post(5, 0, 1, new PlaceId("p")), LADDER,
+                new LinkTerms(4000.0 * hosts.size(), 0, 0, 1, hosts.size(), false), new LegTerms(3, 5, 0.2, 10_000),
+                new ColdTerms(1, 0, 1, 0), new ShedTerms(2000), new ReportTerms(false, 0.01, 0, false),
+                new MoveTerms(0.1), List.of(), out, ear));
+        port = gateway.start();
+        return this;
+    }
+
+    /** Starts it and tells it the list of all hosts. */
+    static Outside up(int count) throws Exception {
+        Outside o = new Outside(count).start(100, null);
+        o.follow();
+        o.tellAll();
+        return o;
+    }
+
+    void follow() throws InterruptedException {
+        list = follows.poll(10, TimeUnit.SECONDS);
+        list.begin(200, Headers.of("Content-Type", "text/event-stream"));
+    }
+
+    HostEntry entry(int i, HostLine.Standing standing) {
+        return new HostEntry(new HostLine(new HostId("h" + i), new PlaceId("p"), 40, i, standing, 1, 0),
+            new InetSocketAddress("127.0.0.1", ports.get(i)));
+    }
+
+    void tellAll() throws InterruptedException {
+        List<HostEntry> all = new ArrayList<>();
+        hosts.keySet().forEach(i -> all.add(entry(i, HostLine.Standing.READY)));
+        tell(new HostList(true, ++number, all).text());
+        until("ListWhole");
+    }
+
+    void change(int i, HostLine.Standing standing) throws InterruptedException {
+        tell(new HostList(false, ++number, List.of(entry(i, standing))).text());
+        until("ListChanged");
+    }
+
+    void tell(String text) {
+        list.piece(new Event("hosts", text).bytes());
+    }
+
+    private List<String> told() {
+        synchronized (calls) {
+            return calls.stream().filter(c -> !c.startsWith("Woke") && !c.startsWith("List")).toList();
+        }
+    }
+
+    /** Waits until the desk was told so. */
+    void until(String call) throws InterruptedException {
+        for (int i = 0; i < 1000; i++) {
+            synchronized (calls) {
+                if (calls.stream().anyMatch(c -> c.startsWith(call))) {
+                    return;
+                }
+            }
+            Thread.sleep(10);
+        }
+        throw new AssertionError("the desk was never told " + call + ": " + told());
+    }
+
+    CompletableFuture<HttpResponse<String>> ask(String band, int who) {
+        return get("/play/7.m3u8?band=" + band + "&viewer=" + who);
+    }
+
+    CompletableFuture<HttpResponse<String>> get(String target) {
+        return viewer.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + target)).build(),
+            HttpResponse.BodyHandlers.ofString());
+    }
+
+    static HttpResponse<String> of(CompletableFuture<HttpResponse<String>> f) throws Exception {
+        return f.get(5, TimeUnit.SECONDS);
+    }
+
+    /** The next request to any host. */
+    Came next() throws InterruptedException {
+        Came c = came.poll(5, TimeUnit.SECONDS);
+        if (c == null) {
+            throw new AssertionError("no host was asked: " + told());
+        }
+        return c;
+    }
+
+    /** The next request to any host that is of this kind; others are set aside. */
+    Came next(String what) throws InterruptedException {
+        Came c = next();
+        while (!c.what().startsWith(what)) {
+            c = next();
+        }
+        return c;
+    }
+
+    /** Serves a set-up and its stream of events; returns the stream. */
+    Exchange serve(Came setUp) throws InterruptedException {
+        Exchange stream = serveSilent(setUp);
+        beats.scheduleAtFixedRate(() -> stream.piece(": beat\n\n".getBytes(StandardCharsets.UTF_8)), 100, 100,
+            TimeUnit.MILLISECONDS);
+        return stream;
+    }
+
+    /** The same by a host that says nothing more. */
+    Exchange serveSilent(Came setUp) throws InterruptedException {
+        setUp.x().answer(200, Headers.NONE, playlist(setUp.x().request().parameters().get("rung")));
+        Exchange stream = next("GET /S/events").x();
+        stream.begin(200, Headers.of("Content-Type", "text/event-stream"));
+        stream.piece(": here\n\n".getBytes(StandardCharsets.UTF_8));
+        return stream;
+    }
+
+    static byte[] playlist(String rung) {
+        StringBuilder b = new StringBuilder("#EXTM3U\n#EXT-X-TARGETDURATION:2\n#EXT-X-KEY:METHOD=AES-128,URI=\"k" + rung
+            + "\"\n");
+        for (int i = 0; i < 6; i++) {
+            b.append("#EXTINF:2,\nm/").append(rung).append('/').append(i).append(".ts\n");
+        }
+        return b.append("#EXT-X-ENDLIST\n").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    void cut(int host) {
+        hosts.get(host).unbind(ports.get(host));
+        hosts.get(host).cut(ports.get(host));
+    }
+
+    int portOf(int host) {
+        return ports.get(host);
+    }
+
+    @Override
+    public void close() throws IOException {
+        beats.shutdownNow();
+        gateway.close();
+        for (Server s : hosts.values()) {
+            s.close();
+        }
+        lists.close();
+    }
+}
--- a/net/src/main/java/walnutfield/net/Exchange.java
+++ b/net/src/main/java/walnutfield/net/Exchange.java
@@ -16,14 +16,15 @@
     private final Request request;
     private HttpResponsePacket response;
     private boolean done;
+    private boolean peerGone;
     private Runnable gone;
 
-    Exchange(Conversation on, HttpRequestPacket packet, Request request) {
+    Exchange(Conversation on, HttpRequestPacket packet, Request request, boolean lastOne) {
         this.on = on;
         this.packet = packet;
         this.request = request;
         String c = request.headers().get("Connection");
-        close = packet.getProtocol() != Protocol.HTTP_1_1 || c != null && c.toLowerCase().contains("close");
+        close = lastOne || packet.getProtocol() != Protocol.HTTP_1_1 || c != null && c.toLowerCase().contains("close");
     }
 
     public Request request() {
@@ -56,6 +57,9 @@
     /** Answers whole. A second answer is a fault of the program, except to a peer that has gone. */
     public void answer(int status, Headers headers, byte[] body) {
         synchronized (this) {
+            if (peerGone) {
+                return;
+            }
             if (done) {
                 throw new IllegalStateException("answered twice: " + request.path());
             }
@@ -107,6 +111,7 @@
         synchronized (this) {
             then = done ? null : gone;
             done = true;
+            peerGone = true;
             gone = null;
         }
         if (then != null) {
--- a/net/src/main/java/walnutfield/net/Server.java
+++ b/net/src/main/java/walnutfield/net/Server.java
@@ -189,7 +189,8 @@
             }
             boolean tooLong = body != null && body.size() > limits.bodyBytes()
                 || packet.getContentLength() > limits.bodyBytes();
-            if (!content.isLast() && !tooLong) {
+            boolean upgrade = packet.isUpgrade(); // it is not taken up (RFC 9110, 7.8); the codec sees no end of it
+            if (!content.isLast() && !tooLong && !upgrade) {
                 return ctx.getStopAction();
             }
             BODY.remove(c);
@@ -198,10 +199,10 @@
                     : body.toByteArray());
             if (tooLong) {
                 Exchange x = new Exchange(talk, packet, new Request(request.method(), request.path(), null,
-                    Headers.of("Connection", "close"), new byte[0]));
+                    Headers.NONE, new byte[0]), true);
                 x.answer(413, Headers.NONE, new byte[0]);
             } else {
-                talk.take(new Exchange(talk, packet, request));
+                talk.take(new Exchange(talk, packet, request, upgrade));
             }
             return ctx.getStopAction();
         }
--- a/net/src/test/java/walnutfield/net/HttpTest.java
+++ b/net/src/test/java/walnutfield/net/HttpTest.java
@@ -146,6 +146,19 @@
         }
     }
 
+    /** A client that offers another protocol is answered in this one, not left waiting for the other. */
+    @Test
+    void anUpgradeIsNotTakenUp() throws Exception {
+        serve(x -> x.answer(200, Headers.NONE, "here".getBytes(StandardCharsets.UTF_8)));
+        try (Socket s = new Socket("127.0.0.1", at.getPort())) {
+            s.setSoTimeout(10_000);
+            s.getOutputStream().write(("GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+                + "Upgrade: h2c\r\nHTTP2-Settings: AAEAAEAA\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+            String all = new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(all.startsWith("HTTP/1.1 200") && all.endsWith("here"), all);
+        }
+    }
+
     /** What a bad peer sends first; its connection is closed, and others go on. */
     @ParameterizedTest
     @ValueSource(strings = {"GET /cut HTTP/1.1\r\nHo", "huge", "headers", "body", "\u0000\u0001\u0002\r\n\r\n"})
