The list's word overtakes what waits; unsent legs to draining hosts are taken back

Need: a leg may wait a second for a connection and a wish may wait through a stall, and both would then leave for a host that drains, past a grace of 250 ms. Lists now overtake the queue, a leg that still waits for its connection is taken back as not sent, and events and timers run in the order of their times, so that an answer that came in time during a stall is seen before its patience ends. Each has a test that causes it.

--- /dev/null
+++ b/app/src/test/java/walnutfield/app/CommandsTest.java
@@ -0,0 +1,81 @@
+package walnutfield.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+
+class CommandsTest {
+    private static final Path SCRIPTS = Path.of("..", "rehearsals");
+    private final StringWriter said = new StringWriter();
+
+    private int run(String... args) {
+        CommandLine c = Main.line();
+        c.setOut(new PrintWriter(said));
+        c.setErr(new PrintWriter(said));
+        return c.execute(args);
+    }
+
+    private static Script read(String text) throws BadSettings {
+        return new Script(Xml.parse("day.xml", text, "day"), new Script.Instead(null, null, null));
+    }
+
+    /** A change of a good script, and the reason that it is refused with; the line is that of the change. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "<fleet hosts=\"8\"|<fleet hosts=\"many\"|'many' is not a valid value",
+        "per-s=\"12\"|per-s=\"12\" odd=\"1\"|'odd' is not allowed",
+        "<legs/>||One of",
+        "kind=\"standing\"|kind=\"sitting\"|'sitting' is not facet-valid",
+        "kb=\"200\"|kb=\"20\"|a rung's rate is over",
+        "top=\"2\" weight|top=\"2\" floor=\"3\" weight|the floor of band audio-guide is over its top rung, 2",
+        "name=\"audio-guide\" expected-ms=\"1000\"|name=\"audio-guide\" expected-ms=\"9000\"|the expected time of band",
+        "name=\"audio-guide\"|name=\"short-clip\"|band short-clip is given twice",
+        "at-s=\"8\"|at-s=\"80\"|the fault gateway-stalled ends after the day",
+        "seconds=\"12\"|seconds=\"-1\"|'-1' is not facet-valid",
+        "<moves/>|<moves>|must be terminated"})
+    void aWrongScriptIsRefusedWithFileLineAndReason(String from, String to, String reason) throws IOException {
+        String good = Files.readString(SCRIPTS.resolve("short.xml"));
+        assertTrue(good.contains(from), from);
+        String bad = good.replace(from, to == null ? "" : to);
+        BadSettings e = assertThrows(BadSettings.class, () -> read(bad));
+        assertTrue(e.getMessage().matches("(?s)day\\.xml:[0-9]+: .*"), e.getMessage());
+        assertTrue(e.getMessage().contains(reason), e.getMessage());
+    }
+
+    @Test
+    void entitiesFromElsewhereAreNotRead() {
+        BadSettings e = assertThrows(BadSettings.class, () -> read("<!DOCTYPE day [<!ENTITY a SYSTEM \"file:///x\">]><day/>"));
+        assertTrue(e.getMessage().contains("DOCTYPE"), e.getMessage());
+    }
+
+    @Test
+    void aGatewayAmongFewerIsRefused() {
+        BadSettings e = assertThrows(BadSettings.class, () -> Settings.post(Xml.parse("g.xml", Files.readString(
+            Path.of("..", "deploy", "gateway.xml")).replace("me=\"0\"", "me=\"5\""), "gateway")));
+        assertTrue(e.getMessage().contains("gateway 5 is not among"), e.getMessage());
+    }
+
+    @Test
+    void theShortDayKeepsEveryRule() {
+        int status = run("rehearse", SCRIPTS.resolve("short.xml").toString());
+        assertTrue(said.toString().contains("\nrules broken: 0; plays "), said.toString());
+        assertEquals(0, status);
+    }
+
+    @Test
+    void aMissingFileIsOneLine() {
+        assertEquals(2, run("rehearse", "none.xml"));
+        assertEquals(1, said.toString().lines().count());
+        assertTrue(said.toString().startsWith("none.xml:0: cannot be read"), said.toString());
+    }
+}
--- a/gateway/src/main/java/walnutfield/gateway/DeskThread.java
+++ b/gateway/src/main/java/walnutfield/gateway/DeskThread.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -19,7 +20,10 @@
 
     private record Timer(double at, long order, Runnable what) { }
 
-    private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
+    private record Posted(double at, Runnable what) { }
+
+    private final LinkedBlockingQueue<Posted> queue = new LinkedBlockingQueue<>();
+    private final ConcurrentLinkedQueue<Runnable> urgent = new ConcurrentLinkedQueue<>();
     private final AtomicInteger refusable = new AtomicInteger();
     private final PriorityQueue<Timer> timers =
         new PriorityQueue<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::order));
@@ -44,7 +48,16 @@
 
     /** For what must not be lost. */
     void post(Runnable what) {
-        queue.add(what);
+        queue.add(new Posted(Clock.now(), what));
+    }
+
+    /**
+     * For what overtakes all that waits. Guards against wishes sent to a host that drains, because they waited before
+     * the list's word in a long queue or through a stall; it harms nothing, as lists are rare.
+     */
+    void postFirst(Runnable what) {
+        urgent.add(what);
+        queue.add(new Posted(Clock.now(), () -> { })); // wakes the thread
     }
 
     /** For what may be refused; false where it was. */
@@ -53,7 +66,7 @@
             refusable.decrementAndGet();
             return false;
         }
-        queue.add(() -> {
+        post(() -> {
             refusable.decrementAndGet();
             what.run();
         });
@@ -79,24 +92,34 @@
         thread.interrupt();
     }
 
+    /**
+     * Events and timers run in the order of their times, so that after a stall an answer that came in time is seen
+     * before the end of its leg's patience.
+     */
     private void run() {
+        Posted next = null; // taken from the queue and not yet run
         while (!stopped) {
-            Timer first = timers.peek();
-            double wait = first == null ? IDLE_MS : Math.min(IDLE_MS, first.at() - Clock.now());
-            Runnable next;
-            try {
-                next = queue.poll((long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
-            } catch (InterruptedException e) {
-                return;
+            Timer timer = timers.peek();
+            if (next == null) {
+                double wait = timer == null ? IDLE_MS : Math.min(IDLE_MS, timer.at() - Clock.now());
+                try {
+                    next = queue.poll((long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
+                } catch (InterruptedException e) {
+                    return;
+                }
             }
-            if (next != null) {
+            for (Runnable first = urgent.poll(); first != null; first = urgent.poll()) {
                 now = Clock.now();
-                guarded(next);
+                guarded(first);
             }
-            for (first = timers.peek(); first != null && first.at() <= Clock.now() && !stopped; first = timers.peek()) {
-                timers.poll();
-                now = Clock.now();
-                guarded(first.what());
+            now = Clock.now();
+            if (timer != null && timer.at() <= now && (next == null || timer.at() <= next.at())) {
+                timers.remove(timer);
+                guarded(timer.what());
+            } else if (next != null) {
+                Posted event = next;
+                next = null;
+                guarded(event.what());
             }
         }
     }
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -41,7 +41,7 @@
         lists = new Client(name + "-list", 1, new Client.Terms(listTerms.retryMs(), 1000, 1, 16_384, Long.MAX_VALUE));
         String life = name + "." + Long.toString((long) Clock.now(), 36);
         plays = new Plays(life, thread, hosts, frontTerms, hostTerms, catalogue, maker);
-        list = new ListClient(thread, lists, listTerms, name, plays::tell);
+        list = new ListClient(thread, lists, listTerms, name, plays::tell, plays::listChanged);
         front = new Front(thread, plays, catalogue, frontTerms);
         server = new Server(name, frontTerms.selectors(), frontTerms.limits(), front::handle);
     }
--- a/gateway/src/main/java/walnutfield/gateway/ListClient.java
+++ b/gateway/src/main/java/walnutfield/gateway/ListClient.java
@@ -40,12 +40,19 @@
     private boolean connected;
     private boolean told; // the module was told that it is lost
     private Client.Sent open;
+    private final Runnable changed;
 
-    ListClient(DeskThread thread, Client client, Terms.Lists terms, String gateway, Consumer<Call> to) {
+    /**
+     * @param to      is told what the list says
+     * @param changed is run after that
+     */
+    ListClient(DeskThread thread, Client client, Terms.Lists terms, String gateway, Consumer<Call> to,
+               Runnable changed) {
         this.thread = thread;
         this.client = client;
         this.terms = terms;
         this.to = to;
+        this.changed = changed;
         via = "1.1 " + gateway;
     }
 
@@ -77,7 +84,7 @@
         if (connected || open != null) {
             return;
         }
-        EventReader reader = new EventReader(LIST_BYTES, e -> thread.post(() -> event(e)));
+        EventReader reader = new EventReader(LIST_BYTES, e -> thread.postFirst(() -> event(e)));
         open = client.send(terms.service(), Request.get("/hosts?follow=" + number, Headers.of("Via", via)),
             new Client.Answer() {
                 @Override
@@ -155,6 +162,13 @@
         }
         List<HostLine> lines = l.hosts().stream().map(HostEntry::line).toList();
         to.accept(l.whole() ? new Call.ListWhole(lines) : new Call.ListChanged(lines));
+        changed.run();
+    }
+
+    /** Whether something new may still leave for that host by the list's word. */
+    boolean isReady(HostId host) {
+        HostEntry e = entries.get(host.value());
+        return e != null && e.line().standing() == HostLine.Standing.READY;
     }
 
     private void keep() {
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -73,6 +73,18 @@
         desk.take(thread.now(), call);
     }
 
+    /**
+     * The list has changed. Guards against a leg that waited for a connection and leaves for a host that drains by
+     * now: it is taken back unsent. It harms where the host would have served it within its grace.
+     */
+    void listChanged() {
+        for (Viewing v : new ArrayList<>(byPlay.values())) {
+            if (v.legOut && v.leg != null && !list.isReady(v.host) && v.leg.callOffUnsent()) {
+                legOver(v, v.play, v.legs - 1, new HostClient.Reply(Outcome.NOT_SENT, null, Load.NONE, "drains"));
+            }
+        }
+    }
+
     /** Viewers that wait for their answer. */
     int unanswered() {
         return unanswered;
@@ -170,7 +182,9 @@
         tell(new Call.GaveUp(play));
         if (v.legOut) {
             v.legOut = false;
-            v.leg.callOff();
+            if (v.leg != null) {
+                v.leg.callOff();
+            }
             tell(new Call.Ended(play, v.legs - 1, v.host, Outcome.CALLED_OFF, true, thread.now() - v.sentAt,
                 Load.NONE));
         }
@@ -243,6 +257,7 @@
         v.address = to;
         v.sentAt = thread.now();
         v.legOut = true;
+        v.leg = null;
         if (to == null) {
             thread.post(() -> legOver(v, play, leg, new HostClient.Reply(Outcome.NOT_SENT, null, Load.NONE,
                 "no address")));
--- a/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
@@ -253,6 +253,47 @@
         }
     }
 
+    /** A host whose backlog is full takes no connection; the leg that waits for one is taken back unsent. */
+    @Test
+    void aLegThatWaitsForAConnectionIsTakenBackWhenItsHostDrains() throws Exception {
+        try (Outside o = Outside.up(2)) {
+            int full = o.fillBacklog();
+            CompletableFuture<HttpResponse<String>> asked = null;
+            for (int i = 0; asked == null; i++) { // until one is sent to the full host
+                CompletableFuture<HttpResponse<String>> a = o.ask("paid", i);
+                Came c = o.came.poll(200, TimeUnit.MILLISECONDS);
+                if (c == null) {
+                    asked = a;
+                }
+            }
+            o.change(full, HostLine.Standing.DRAINING);
+            Came other = o.next("POST /S");
+            assertNotEquals(full, other.host());
+            assertTrue(o.calls.stream().anyMatch(c -> c.contains("NOT_SENT")), o.calls.toString());
+            o.serve(other);
+            assertEquals(200, Outside.of(asked).statusCode());
+        }
+    }
+
+    /** Through a stall the list's word overtakes wishes, and an answer in time comes before its patience's end. */
+    @Test
+    void whatCameThroughAStallIsSeenInTheRightOrder() throws Exception {
+        try (Outside o = Outside.up(2)) {
+            CompletableFuture<HttpResponse<String>> first = o.ask("free", 1);
+            Came leg = o.next();
+            o.gateway.stall(900); // longer than the leg's patience
+            o.ask("free", 2);
+            o.ask("free", 3);
+            leg.x().answer(200, Headers.NONE, Outside.playlist("2"));
+            o.change(leg.host(), HostLine.Standing.DRAINING);
+            for (int i = 0; i < 2; i++) {
+                assertNotEquals(leg.host(), o.next("POST /S").host());
+            }
+            assertEquals(200, Outside.of(first).statusCode());
+            assertTrue(o.calls.stream().noneMatch(c -> c.contains("TIMED_OUT")));
+        }
+    }
+
     @Test
     void aWrongListIsRefusedAndTheLastGoodOneStays() throws Exception {
         try (Outside o = Outside.up(1)) {
--- a/gateway/src/test/java/walnutfield/gateway/Outside.java
+++ b/gateway/src/test/java/walnutfield/gateway/Outside.java
@@ -1,7 +1,12 @@
 package walnutfield.gateway;
 
+import java.io.Closeable;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -60,6 +65,7 @@
     Exchange list;
     GatewayServer gateway;
     int port;
+    private final List<Closeable> closing = new ArrayList<>();
     private long number;
     private final ScheduledExecutorService beats = Executors.newSingleThreadScheduledExecutor();
 
@@ -127,7 +133,8 @@
 
     void change(int i, HostLine.Standing standing) throws InterruptedException {
         tell(new HostList(false, ++number, List.of(entry(i, standing))).text());
-        until("ListChanged");
+        until("ListChanged[lines=[HostLine[host=HostId[value=h" + i + "], place=PlaceId[value=p], slots=40, cell=" + i
+            + ", standing=" + standing);
     }
 
     void tell(String text) {
@@ -215,6 +222,24 @@
         hosts.get(host).cut(ports.get(host));
     }
 
+    /** Puts a socket that accepts nothing in host 0's place, with its backlog full; returns 0. */
+    int fillBacklog() throws Exception {
+        ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        closing.add(s);
+        for (boolean taken = true; taken;) {
+            Socket c = new Socket();
+            closing.add(c);
+            try {
+                c.connect(s.getLocalSocketAddress(), 100);
+            } catch (SocketTimeoutException full) {
+                taken = false;
+            }
+        }
+        ports.put(0, s.getLocalPort());
+        change(0, HostLine.Standing.READY);
+        return 0;
+    }
+
     int portOf(int host) {
         return ports.get(host);
     }
@@ -222,6 +247,9 @@
     @Override
     public void close() throws IOException {
         beats.shutdownNow();
+        for (Closeable c : closing) {
+            c.close();
+        }
         gateway.close();
         for (Server s : hosts.values()) {
             s.close();
--- a/net/src/main/java/walnutfield/net/Client.java
+++ b/net/src/main/java/walnutfield/net/Client.java
@@ -205,6 +205,15 @@
             }
         }
 
+        /** Calls it off if it still waits for a connection; false where it has left, or is over. */
+        public synchronized boolean callOffUnsent() {
+            if (over || connection != null) {
+                return false;
+            }
+            over = true;
+            return true;
+        }
+
         /** Whether the request had left for its host. */
         public synchronized boolean wentOut() {
             return connection != null;
