Figures by a library, /metrics, and measure: the gateway against a bare server in one run

How much the decisions cost was not known. Micrometer times events at the desk, legs and starts; measure runs gateway and bare server as processes of their own over the same stand-ins.

--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -1,6 +1,9 @@
 package walnutfield.app;
 
 import ch.qos.logback.classic.Level;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,7 +23,7 @@
 /** The program: one subcommand for each way of running it. */
 @Command(name = "walnutfield", mixinStandardHelpOptions = true, version = "walnutfield 0.2.0",
     description = "A session front: decides which media host takes each play and at what quality.",
-    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class,
+    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class, MeasureCommand.class, MeasureCommand.Bare.class,
         Main.SchemaCommand.class})
 public final class Main {
     private static final int BAD_INPUT = 2;
@@ -51,8 +54,11 @@
             Logs.to(null, Level.INFO);
             Xml root = Xml.read(file, "gateway");
             Ladder ladder = Settings.ladder(root);
+            PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+            new JvmMemoryMetrics().bindTo(registry);
             GatewayServer g = new GatewayServer(root.text("name"), Settings.front(root), Settings.hosts(root),
                 Settings.list(root), Settings.catalogue(root, ladder, Settings.bands(root, ladder.kb().size())),
+                registry, registry::scrape,
                 Settings.desks(root, Settings.post(root), ladder, Settings.links(root), Settings.shares(root)));
             CountDownLatch ended = new CountDownLatch(1);
             double drainMs = root.one("front").number("drain-ms");
--- a/app/src/main/java/walnutfield/app/Script.java
+++ b/app/src/main/java/walnutfield/app/Script.java
@@ -1,5 +1,6 @@
 package walnutfield.app;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -110,6 +111,7 @@
         return (name, me, service) -> {
             Post post = new Post(day.seed() * 1000 + me, me, day.gateways(), new PlaceId(PLACE));
             GatewayServer g = new GatewayServer(name, front, hosts, new Terms.Lists(service, null, 500), catalogue,
+                new SimpleMeterRegistry(), () -> "",
                 Settings.desks(root, post, ladder, links, List.of()));
             return new Gate(g, g.start());
         };
--- a/gateway/src/main/java/walnutfield/gateway/DeskThread.java
+++ b/gateway/src/main/java/walnutfield/gateway/DeskThread.java
@@ -28,6 +28,7 @@
     private final PriorityQueue<Timer> timers =
         new PriorityQueue<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::order));
     private final int most;
+    private final Figures figures;
     private final Thread thread;
     private long order;
     private double now = Clock.now();
@@ -36,7 +37,8 @@
     /**
      * @param most wishes and figures that may wait
      */
-    DeskThread(String name, int most) {
+    DeskThread(String name, int most, Figures figures) {
+        this.figures = figures;
         this.most = most;
         thread = new Thread(this::run, name);
         thread.setDaemon(true);
@@ -120,6 +122,7 @@
                 Posted event = next;
                 next = null;
                 guarded(event.what());
+                figures.event(now - event.at(), Clock.now() - now);
             }
         }
     }
--- a/gateway/src/main/java/walnutfield/gateway/Front.java
+++ b/gateway/src/main/java/walnutfield/gateway/Front.java
@@ -5,10 +5,12 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import walnutfield.net.Clock;
 import walnutfield.net.Exchange;
+import walnutfield.net.Headers;
 import walnutfield.net.Query;
 import walnutfield.play.Band;
 import walnutfield.play.CustomerId;
@@ -31,10 +33,12 @@
     private final Plays plays;
     private final Catalogue catalogue;
     private final Terms.Front terms;
-    private final List<Stage> chain = List.of(this::method, this::session, this::health, this::draining, this::wish);
+    private final List<Stage> chain = List.of(this::method, this::session, this::health, this::figures, this::draining, this::wish);
+    private final Supplier<String> metrics;
     private volatile boolean draining;
 
-    Front(DeskThread thread, Plays plays, Catalogue catalogue, Terms.Front terms) {
+    Front(DeskThread thread, Plays plays, Catalogue catalogue, Terms.Front terms, Supplier<String> metrics) {
+        this.metrics = metrics;
         this.thread = thread;
         this.plays = plays;
         this.catalogue = catalogue;
@@ -89,6 +93,16 @@
         return false;
     }
 
+    /** For whoever gathers figures, in the Prometheus text format. */
+    private boolean figures(Exchange x) {
+        if (!x.request().path().equals("/metrics")) {
+            return true;
+        }
+        x.answer(200, Headers.of("Content-Type", "text/plain; version=0.0.4"),
+            metrics.get().getBytes(StandardCharsets.UTF_8));
+        return false;
+    }
+
     /** A draining gateway takes nothing new. */
     private boolean draining(Exchange x) {
         if (!draining) {
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -1,9 +1,11 @@
 package walnutfield.gateway;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import walnutfield.desk.Desk;
@@ -29,21 +31,28 @@
     private int port;
 
     /**
-     * @param name  of the gateway, as hosts and the list service see it
-     * @param maker makes its desk, given where its results go
+     * @param name     of the gateway, as hosts and the list service see it
+     * @param registry counts and times
+     * @param metrics  what /metrics answers
+     * @param maker    makes its desk, given where its results go
      */
     public GatewayServer(String name, Terms.Front frontTerms, Terms.Hosts hostTerms, Terms.Lists listTerms,
-                         Catalogue catalogue, Function<Gateway, Desk> maker) throws IOException {
+                         Catalogue catalogue, MeterRegistry registry, Supplier<String> metrics,
+                         Function<Gateway, Desk> maker) throws IOException {
+        Figures figures = new Figures(registry);
         this.name = name;
         this.frontTerms = frontTerms;
-        thread = new DeskThread(name + "-desk", frontTerms.queue());
+        thread = new DeskThread(name + "-desk", frontTerms.queue(), figures);
         hosts = new HostClient(name, hostTerms);
         lists = new Client(name + "-list", 1, new Client.Terms(listTerms.retryMs(), 1000, 1, 16_384, Long.MAX_VALUE));
         String life = name + "." + Long.toString((long) Clock.now(), 36);
-        plays = new Plays(life, thread, hosts, frontTerms, hostTerms, catalogue, maker);
+        plays = new Plays(life, thread, hosts, frontTerms, hostTerms, catalogue, figures, maker);
         list = new ListClient(thread, lists, listTerms, name, plays::tell, plays::listChanged);
-        front = new Front(thread, plays, catalogue, frontTerms);
+        front = new Front(thread, plays, catalogue, frontTerms, metrics);
         server = new Server(name, frontTerms.selectors(), frontTerms.limits(), front::handle);
+        figures.gauge("plays.open", plays::playing);
+        figures.gauge("desk.queue", thread::waiting);
+        figures.gauge("connections", server::connections);
     }
 
     /** Starts; returns the port that viewers reach it at. */
@@ -70,7 +79,7 @@
 
     /** Plays under way, set-ups included. */
     public int playing() {
-        return ask(plays::playing);
+        return plays.playing();
     }
 
     private int ask(java.util.function.IntSupplier what) {
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -41,6 +41,7 @@
     private final Catalogue catalogue;
     private final String name;
     private final Desk desk;
+    private final Figures figures;
     private final Map<Viewing.Key, Viewing> open = new HashMap<>();      // emptied as viewings end
     private final Map<PlayId, Viewing> byPlay = new LinkedHashMap<>();   // emptied as plays end
     private final Map<HostId, Double> probes = new HashMap<>();          // sent when; emptied as they come in
@@ -48,12 +49,14 @@
     private ListClient list;
     private long next = 1;
     private int unanswered;
+    private volatile int openPlays;
 
     /**
      * @param name of this gateway's present life: no other gateway, nor this one started again, has the same
      */
     Plays(String name, DeskThread thread, HostClient hosts, Terms.Front front, Terms.Hosts hostTerms,
-          Catalogue catalogue, Function<Gateway, Desk> maker) {
+          Catalogue catalogue, Figures figures, Function<Gateway, Desk> maker) {
+        this.figures = figures;
         this.name = name;
         this.thread = thread;
         this.hosts = hosts;
@@ -71,6 +74,7 @@
 
     void tell(Call call) {
         desk.take(thread.now(), call);
+        openPlays = byPlay.size();
     }
 
     /**
@@ -90,8 +94,9 @@
         return unanswered;
     }
 
+    /** Plays open now; any thread may ask. */
     int playing() {
-        return byPlay.size();
+        return openPlays;
     }
 
     /** The playlist of a viewing; null where there is none of that name. Any thread may ask. */
@@ -212,6 +217,7 @@
     private void over(Viewing v, String end) {
         v.phase = Phase.OVER;
         open.remove(v.asked.key(), v);
+        figures.over(end, v.asked.band().name());
         ACCESS.atInfo().addKeyValue("play", v.session).addKeyValue("end", end).addKeyValue("band", v.asked.band().name())
             .addKeyValue("title", v.asked.title().value()).addKeyValue("host", v.host == null ? "-" : v.host.value())
             .addKeyValue("legs", v.legs).addKeyValue("rung", v.servedRung)
@@ -298,6 +304,9 @@
         v.playlist.from(thread.now(), reply.playlist(), HostClient.base(v.address), v.servedRung);
         playlists.put(v.id, v.playlist);
         listen(v, play);
+        if (v.comebacks == 0) {
+            figures.served(took, v.startedAt - v.takenAt);
+        }
         answerAll(v, x -> answerWith(x, v));
         tell(new Call.Started(play, leg, v.host, took));
         if (reply.load() != Load.NONE) {
--- a/gateway/src/test/java/walnutfield/gateway/Outside.java
+++ b/gateway/src/test/java/walnutfield/gateway/Outside.java
@@ -1,5 +1,6 @@
 package walnutfield.gateway;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -97,7 +98,7 @@
         gateway = new GatewayServer("gw", new Terms.Front(0, 1, LIMITS, queue, 3, 2, 3, 60_000),
             new Terms.Hosts(new Client.Terms(1000, 5000, 8, 16_384, 1 << 20), 1, 500, 700),
             new Terms.Lists(new InetSocketAddress("127.0.0.1", listPort), kept, 100),
-            new Catalogue(titles, bands, LADDER),
+            new Catalogue(titles, bands, LADDER), new SimpleMeterRegistry(), () -> "",
             out -> new Desk(new Post(5, 0, 1, new PlaceId("p")), LADDER,
                 new LinkTerms(4000.0 * hosts.size(), 0, 0, 1, hosts.size(), false), new LegTerms(3, 5, 0.2, 10_000),
                 new ColdTerms(1, 0, 1, 0), new ShedTerms(2000), new ReportTerms(false, 0.01, 0, false),
