--- /dev/null
+++ b/app/src/test/java/walnutfield/app/HardDaysTest.java
@@ -0,0 +1,37 @@
+package walnutfield.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import walnutfield.standin.audit.Verdict;
+import walnutfield.standin.day.Rehearsal;
+
+/** Days of one trouble each, on real sockets: every rule is kept, and the trouble was there. */
+class HardDaysTest {
+    /** Hosts, gateways, viewers a second, the fault, and the rule that must have had something to check. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "1 | 2 | 12 | <fault kind='dead' at-s='1' for-s='1' first='0'/> | 3",       // two gateways, one cold host
+        "3 | 2 | 20 | <fault kind='dead' at-s='2' for-s='1.5' first='1'/> | 3",     // its viewers come back, it is cold
+        "6 | 1 | 12 | <fault kind='gateway-stalled' at-s='2' for-s='2' first='0'/> | 0",
+        "4 | 2 | 12 | <fault kind='failing' at-s='0.5' for-s='4' count='2' amount='1'/> | 5",
+        "4 | 2 | 12 | <fault kind='drain' at-s='1' for-s='2' count='2' amount='500'/> | 2"})
+    void everyRuleIsKept(int hosts, int gateways, int perS, String fault, int rule) throws Exception {
+        String text = Files.readString(Path.of("..", "rehearsals", "short.xml"))
+            .replaceAll("seconds=\"12\"", "seconds=\"5\"").replaceAll("per-s=\"12\"", "per-s=\"" + perS + "\"")
+            .replaceAll("list-late-ms=\"500\"", "list-late-ms=\"200\"")
+            .replaceAll("(?s)<faults>.*</faults>", "<faults>" + fault + "</faults>");
+        Script script = new Script(Xml.parse("day.xml", text, "day"), new Script.Instead(7L, gateways, hosts));
+        Rehearsal.Outcome o = new Rehearsal(script.day(), script.rig()).run();
+        for (Verdict v : o.verdicts()) {
+            assertEquals(List.of(), v.broken(), v.rule());
+        }
+        assertTrue(o.verdicts().get(rule).checked() > 0, o.verdicts().get(rule).rule() + " had nothing to check");
+        assertTrue(o.plays().get("served") > 10, o.plays().toString());
+    }
+}
