Wishes that wait too long for the desk are shed untaken; overlapping faults told apart

Random scripts found requests unanswered while the desk's thread stood for 4.5 s, and false breaches of seats where two faults of one gateway overlapped. The front now sheds what the desk has not taken in untaken-ms; the auditor counts a seat as held until the gateway closes its stream, and knows scripted stalls; overlapping faults of one machine are one.

--- a/app/src/main/java/walnutfield/app/Settings.java
+++ b/app/src/main/java/walnutfield/app/Settings.java
@@ -90,7 +90,7 @@
         Xml f = root.one("front");
         Limits limits = new Limits(f.whole("connections"), f.whole("header-bytes"), f.whole("header-count"),
             f.whole("body-bytes"), f.number("request-ms"), f.number("idle-connection-ms"), f.number("unread-ms"), 4);
-        return new Terms.Front(f.whole("port"), f.whole("selectors"), limits, f.whole("queue"), f.whole("joined"),
+        return new Terms.Front(f.whole("port"), f.whole("selectors"), limits, f.whole("queue"), f.number("untaken-ms"), f.whole("joined"),
             f.whole("retry-after-s"), f.number("ahead-s"), f.number("idle-ms"));
     }
 
--- a/gateway/src/main/java/walnutfield/gateway/Front.java
+++ b/gateway/src/main/java/walnutfield/gateway/Front.java
@@ -4,7 +4,10 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -35,6 +38,7 @@
     private final Terms.Front terms;
     private final List<Stage> chain = List.of(this::method, this::session, this::health, this::figures, this::draining, this::wish);
     private final Supplier<String> metrics;
+    private final Queue<Waiting> waiting = new ConcurrentLinkedQueue<>(); // emptied by the sweep
     private volatile boolean draining;
 
     Front(DeskThread thread, Plays plays, Catalogue catalogue, Terms.Front terms, Supplier<String> metrics) {
@@ -136,13 +140,38 @@
             String customer = q.get("customer");
             Viewing.Asked asked = new Viewing.Asked(viewer(viewer), title, band,
                 customer == null ? null : new CustomerId(customer), best);
-            if (!thread.offer(() -> plays.asked(x, asked, at))) {
+            Waiting w = new Waiting(x, at);
+            if (thread.offer(() -> {
+                if (w.settle()) {
+                    plays.asked(x, asked, at);
+                }
+            })) {
+                waiting.add(w);
+            } else {
                 Answers.notNow(x, null, terms.retryAfterS() * 1000.0);
             }
         }
         return false;
     }
 
+    /**
+     * Guards against wishes left unanswered while the desk's thread stands still or is far behind: what waited too
+     * long for it is shed from here, untaken. It harms where the thread would have come to it just then.
+     */
+    void sweep() {
+        double oldest = Clock.now() - terms.untakenMs();
+        for (Iterator<Waiting> all = waiting.iterator(); all.hasNext();) {
+            Waiting w = all.next();
+            if (!w.isSettled() && w.at > oldest) {
+                continue;
+            }
+            all.remove();
+            if (w.settle() && !w.exchange.isDone()) {
+                Answers.notNow(w.exchange, null, terms.retryAfterS() * 1000.0);
+            }
+        }
+    }
+
     /** A number stands for itself; any other name for eight bytes of its SHA-256. */
     private static ViewerId viewer(String name) {
         if (name.matches("[0-9]{1,18}")) {
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -3,6 +3,8 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -18,6 +20,7 @@
 public final class GatewayServer implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(GatewayServer.class);
     private static final int ANSWER_LOOK_MS = 20;
+    private static final int SWEEP_MS = 25;
 
     private final String name;
     private final DeskThread thread;
@@ -28,6 +31,7 @@
     private final Front front;
     private final Server server;
     private final Terms.Front frontTerms;
+    private final ScheduledExecutorService sweeper;
     private int port;
 
     /**
@@ -50,6 +54,12 @@
         list = new ListClient(thread, lists, listTerms, name, plays::tell, plays::listChanged);
         front = new Front(thread, plays, catalogue, frontTerms, metrics);
         server = new Server(name, frontTerms.selectors(), frontTerms.limits(), front::handle);
+        sweeper = Executors.newSingleThreadScheduledExecutor(r -> {
+            Thread t = new Thread(r, name + "-untaken");
+            t.setDaemon(true);
+            return t;
+        });
+        sweeper.scheduleWithFixedDelay(front::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         figures.gauge("plays.open", plays::playing);
         figures.gauge("desk.queue", thread::waiting);
         figures.gauge("connections", server::connections);
@@ -119,6 +129,7 @@
     /** Ends at once: what is open is cut. */
     @Override
     public void close() throws IOException {
+        sweeper.shutdownNow();
         thread.stop();
         server.unbind(port);
         server.cut(port);
--- a/gateway/src/main/java/walnutfield/gateway/Terms.java
+++ b/gateway/src/main/java/walnutfield/gateway/Terms.java
@@ -15,12 +15,13 @@
      * @param port        on loopback; 0 for any
      * @param selectors   threads that read and write
      * @param queue       wishes and figures that may wait for the desk
+     * @param untakenMs   a wish that waited so long for the desk is shed untaken
      * @param joined      requests of one viewer that may wait for one play
      * @param retryAfterS told to whom finds the queue full or the gateway draining
      * @param aheadS      seconds of a play that are listed ahead of its time
      * @param idleMs      a session that nobody asks for so long is over
      */
-    public record Front(int port, int selectors, Limits limits, int queue, int joined, int retryAfterS,
+    public record Front(int port, int selectors, Limits limits, int queue, double untakenMs, int joined, int retryAfterS,
                         double aheadS, double idleMs) { }
 
     /**
--- a/standins/src/main/java/walnutfield/standin/ListService.java
+++ b/standins/src/main/java/walnutfield/standin/ListService.java
@@ -27,6 +27,7 @@
     private final Server server;
     private int port;
     private long number;
+    private boolean lost;
 
     public ListService(Auditor auditor) throws IOException {
         this.auditor = auditor;
@@ -80,7 +81,11 @@
     }
 
     /** Out of reach, or back. */
-    public void lost(boolean on) throws IOException {
+    public synchronized void lost(boolean on) throws IOException {
+        if (on == lost) {
+            return;
+        }
+        lost = on;
         if (on) {
             server.unbind(port);
             server.cut(port);
--- a/standins/src/main/java/walnutfield/standin/MediaHosts.java
+++ b/standins/src/main/java/walnutfield/standin/MediaHosts.java
@@ -135,6 +135,9 @@
     /** Lost at once with all that it has. */
     public synchronized void crash(String host) {
         Host h = hosts.get(host);
+        if (!h.up) {
+            return;
+        }
         h.up = false;
         byPort.remove(h.port);
         server.unbind(h.port);
@@ -149,8 +152,8 @@
             server.bind(h.port);
             byPort.put(h.port, h);
             h.up = true;
+            cold(h);
         }
-        cold(h);
     }
 
     private void cold(Host h) {
@@ -408,6 +411,7 @@
                 if (s != null && s.stream == x) {
                     s.stream = null;
                     s.streamLostAt = Clock.now();
+                    auditor.sessionOver(play, h.plan.name(), s.streamLostAt); // the gateway holds it no more
                 }
             }
         });
--- a/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
+++ b/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
@@ -202,6 +202,11 @@
     }
 
     private void up(int i) throws IOException {
+        synchronized (gateways) {
+            if (gateways.get(i) != null) {
+                return; // two faults of it overlap
+            }
+        }
         Rig.Running g = rig.start("gw" + i, i, new InetSocketAddress("127.0.0.1", list.port()));
         synchronized (gateways) {
             gateways.set(i, g);
@@ -274,6 +279,8 @@
                     g = gateways.get(i);
                 }
                 if (begins && g != null) {
+                    double now = Clock.now();
+                    auditor.gatewayStalled("gw" + i, now, now + f.forMs());
                     g.stall(f.forMs());
                 }
             }
