Records of a desk: written beside it, read, replayed, traced and projected; a witness in the module

Tools must decide as the gateway does, so they get its calls. Frames of protobuf with length and CRC32C, bounded, never holding the desk up; replay compares results byte for byte; trace prints what the module itself says through a witness.

--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -94,6 +94,7 @@
     private double fellows = Double.POSITIVE_INFINITY; // the fellows' usual quantile of answer times
     private double nextRecheck, probeTokens, askAgainAt = Double.POSITIVE_INFINITY;
     private double life = LIFE_MS, credit = 1; // usual length and credit of a play
+    private Witness witness;
 
     public Director(Post post, Ladder ladder, LinkTerms links, LegTerms legs, ColdTerms cold, ShedTerms sheds,
                     ReportTerms reports, MoveTerms moves, List<Share> shares, Gateway out) {
@@ -119,6 +120,11 @@
         middleKb = ladder.middleKb();
     }
 
+    /** Who is told why; null for nobody. */
+    public void watch(Witness by) {
+        witness = by;
+    }
+
     // ---- The list of hosts
 
     public void listRemembered(double now, List<HostLine> lines) {
@@ -348,6 +354,9 @@
     private void run(Play p, double now) {
         for (Stage s : chain) {
             Verdict v = s.pass(p, now);
+            if (witness != null) {
+                witness.passed(p.wish.play(), s.getClass().getSimpleName(), v.name());
+            }
             if (v == Verdict.END) {
                 giveUp(p, now);
             }
@@ -501,14 +510,17 @@
         double most = Double.NEGATIVE_INFINITY;
         for (Host h : fleet.holders(p.wish.firstCell(), p.wish.holders())) {
             boolean doubted = h.suspect && now < h.retryAt + LAPSE_MS;
-            if (h == not || !h.ready() || p.tried.contains(h) || now < mayTake(h, p, now)
-                || now - h.turnedAwayAt < AWAY_MS
-                || h.line.slots() > 0 && streams(h, now) >= h.line.slots()
-                || doubted && (p.wish.band().paid() || h.probeOut || h.legsOut > 0)) {
-                continue; // a suspect is tried with one play at a time, never with a paid one
+            String why = h == not ? "left" : !h.ready() ? "not ready" : p.tried.contains(h) ? "tried"
+                : now < mayTake(h, p, now) ? "cold" : now - h.turnedAwayAt < AWAY_MS ? "turned away"
+                : h.line.slots() > 0 && streams(h, now) >= h.line.slots() ? "no slots"
+                : doubted && (p.wish.band().paid() || h.probeOut || h.legsOut > 0) ? "suspect" : null;
+            if (why != null) { // a suspect is tried with one play at a time, never with a paid one
+                weighed(p, h, why, Double.NaN, now);
+                continue;
             }
             double score = score(h, SPREAD * unsure(), now);
             score -= doubted && now < h.retryAt || h.probeOut && now - h.probedAt >= ASK_MS ? LAST_RESORT : 0;
+            weighed(p, h, null, score, now);
             if (score > most) {
                 most = score;
                 best = h;
@@ -517,6 +529,14 @@
         return best;
     }
 
+    private void weighed(Play p, Host h, String not, double score, double now) {
+        if (witness != null) { // what a host that is passed over carries is not reckoned: that leaves traces
+            boolean scored = not == null;
+            witness.weighed(p.wish.play(), h.id, not, score, scored ? linkUse(h, now) : Double.NaN,
+                scored ? uplinkUse(h.rack, now) : Double.NaN, h.link.weight(FADE_MS, now));
+        }
+    }
+
     /** The design's score: spare rate, in plays at the middle rate, plus 1 over the percentage of streams. */
     private double score(Host h, double unsure, double now) {
         Gauge up = h.rack.uplink;
@@ -654,7 +674,7 @@
         }
         h.probeOut = false;
         if (how == Outcome.SERVED) {
-            heard(id, load, from(now) - LOOK_MS); // no proof that set-ups work: answers may be lost, probes not
+            heard(id, load, from(now) - LOOK_MS); // no proof that set-ups work: their answers may be lost
         } else if (how != Outcome.TIMED_OUT && how != Outcome.UNREACHABLE && how != Outcome.BROKEN_OFF) {
             return;
         } else if (now > stoodTo) {
--- a/core/src/main/java/walnutfield/desk/Desk.java
+++ b/core/src/main/java/walnutfield/desk/Desk.java
@@ -14,6 +14,7 @@
 import walnutfield.play.ReportTerms;
 import walnutfield.play.Share;
 import walnutfield.play.ShedTerms;
+import walnutfield.play.Witness;
 
 /**
  * One gateway's decisions. It takes calls with their time, passes them to the module, and hands on what that
@@ -38,6 +39,11 @@
             listener == null ? out : new Told());
     }
 
+    /** Has the module tell why it chooses; null for nobody. */
+    public void watch(Witness witness) {
+        director.watch(witness);
+    }
+
     /**
      * Takes a call.
      *
--- /dev/null
+++ b/record/src/main/java/walnutfield/record/Damaged.java
@@ -0,0 +1,18 @@
+package walnutfield.record;
+
+import java.io.IOException;
+
+/** A record that cannot be read on; the message names the offset, in bytes, of the first frame that is not whole. */
+public final class Damaged extends IOException {
+    private static final long serialVersionUID = 1L;
+    private final long offset;
+
+    Damaged(long offset, String reason) {
+        super("offset " + offset + ": " + reason);
+        this.offset = offset;
+    }
+
+    public long offset() {
+        return offset;
+    }
+}
