A first list without a kept one proves nothing of now; tools on the command line

A random script showed two gateways started anew send 25 set-ups in a second to a host that had come back cold: with no kept list every host passed for warm.

--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -17,16 +17,20 @@
 import walnutfield.bench.Adapter;
 import walnutfield.gateway.GatewayServer;
 import walnutfield.play.Ladder;
+import walnutfield.record.Making;
+import walnutfield.record.Recorder;
 import walnutfield.standin.audit.Verdict;
 import walnutfield.standin.day.Rehearsal;
 
 /** The program: one subcommand for each way of running it. */
-@Command(name = "walnutfield", mixinStandardHelpOptions = true, version = "walnutfield 0.2.0",
+@Command(name = "walnutfield", mixinStandardHelpOptions = true, version = Main.BUILD,
     description = "A session front: decides which media host takes each play and at what quality.",
-    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class, MeasureCommand.class, MeasureCommand.Bare.class,
+    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class, MeasureCommand.class, MeasureCommand.Bare.class, Tools.RecordCommand.class,
+        Tools.ReplayCommand.class, Tools.CheckCommand.class, Tools.TraceCommand.class, Tools.WhatIfCommand.class,
         Main.SchemaCommand.class})
 public final class Main {
-    private static final int BAD_INPUT = 2;
+    static final String BUILD = "walnutfield 0.2.0";
+    static final int BAD_INPUT = 2;
 
     private Main() { }
 
@@ -49,22 +53,36 @@
         @Parameters(index = "0", paramLabel = "CONFIG.xml")
         private Path file;
 
+        @Option(names = "--record", paramLabel = "FILE", description = "records what passes the desk")
+        private Path record;
+
+        @Option(names = "--record-mb", defaultValue = "1024", description = "of a record at most (${DEFAULT-VALUE})")
+        private long mostMb;
+
+        @Option(names = "--record-hours", defaultValue = "24", description = "of a record at most (${DEFAULT-VALUE})")
+        private double mostHours;
+
         @Override
         public Integer call() throws Exception {
             Logs.to(null, Level.INFO);
             Xml root = Xml.read(file, "gateway");
+            Settings.check(root);
             Ladder ladder = Settings.ladder(root);
+            Making making = Settings.making(root);
+            Recorder recorder = record == null ? null : new Recorder(record, making, mostMb << 20, mostHours * 3.6e6);
             PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
             new JvmMemoryMetrics().bindTo(registry);
             GatewayServer g = new GatewayServer(root.text("name"), Settings.front(root), Settings.hosts(root),
                 Settings.list(root), Settings.catalogue(root, ladder, Settings.bands(root, ladder.kb().size())),
-                registry, registry::scrape,
-                Settings.desks(root, Settings.post(root), ladder, Settings.links(root), Settings.shares(root)));
+                registry, registry::scrape, out -> making.desk(out, recorder));
             CountDownLatch ended = new CountDownLatch(1);
             double drainMs = root.one("front").number("drain-ms");
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     g.drain(drainMs);
+                    if (recorder != null) {
+                        recorder.close();
+                    }
                 } catch (IOException e) {
                     System.err.println("drain: " + e);
                 }
@@ -95,6 +113,9 @@
         @Option(names = "--out", paramLabel = "DIR", description = "keeps the log and the verdicts there")
         private Path out;
 
+        @Option(names = "--record", description = "records each gateway's desk to DIR/*.record")
+        private boolean record;
+
         @Option(names = "--show", description = "prints one viewer's playlist")
         private boolean show;
 
@@ -104,11 +125,14 @@
         @Override
         public Integer call() throws Exception {
             Script script = new Script(Xml.read(file, "day"), new Script.Instead(seed, gateways, hosts));
+            if (record && out == null) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "--record goes with --out DIR");
+            }
             if (out != null) {
                 Files.createDirectories(out);
             }
             Logs.to(out == null ? null : out.resolve("log.json"), out == null ? Level.ERROR : Level.INFO);
-            Rehearsal.Outcome o = new Rehearsal(script.day(), script.rig()).run();
+            Rehearsal.Outcome o = new Rehearsal(script.day(), script.rig(record ? out : null)).run();
             StringBuilder text = new StringBuilder();
             if (show) {
                 text.append(o.playlist());
--- a/app/src/main/java/walnutfield/app/Script.java
+++ b/app/src/main/java/walnutfield/app/Script.java
@@ -1,6 +1,7 @@
 package walnutfield.app;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -17,6 +18,8 @@
 import walnutfield.play.PlaceId;
 import walnutfield.play.Post;
 import walnutfield.play.TitleId;
+import walnutfield.record.Making;
+import walnutfield.record.Recorder;
 import walnutfield.standin.HostPlan;
 import walnutfield.standin.HostTerms;
 import walnutfield.standin.audit.Rules;
@@ -28,6 +31,8 @@
 /** A day's script: what the stand-ins take of it, and how the gateways are set up for it. */
 final class Script {
     private static final String PLACE = "here";
+    private static final long RECORD_BYTES = 1L << 30;
+    private static final double RECORD_MS = 3_600_000;
     private final Xml root;
     private final Day day;
     private final Ladder ladder;
@@ -104,24 +109,39 @@
         return day;
     }
 
-    /** Gateways as they are. */
-    Rig rig() {
+    /**
+     * Gateways as they are.
+     *
+     * @param records where each life of a gateway leaves its record; null for none
+     */
+    Rig rig(Path records) {
         Terms.Front front = Settings.front(root);
         Terms.Hosts hosts = Settings.hosts(root);
+        int[] lives = new int[day.gateways()];
         return (name, me, service) -> {
             Post post = new Post(day.seed() * 1000 + me, me, day.gateways(), new PlaceId(PLACE));
+            Making making = Settings.making(root, name, post, ladder, links, List.of());
+            int life = ++lives[me];
+            Recorder recorder = records == null ? null : new Recorder(records.resolve(name + (life > 1 ? "-" + life : "")
+                + ".record"), making, RECORD_BYTES, RECORD_MS);
             GatewayServer g = new GatewayServer(name, front, hosts, new Terms.Lists(service, null, 500), catalogue,
-                new SimpleMeterRegistry(), () -> "",
-                Settings.desks(root, post, ladder, links, List.of()));
-            return new Gate(g, g.start());
+                new SimpleMeterRegistry(), () -> "", out -> making.desk(out, recorder));
+            return new Gate(g, g.start(), recorder);
         };
     }
 
     /** A gateway that runs in a rehearsal. */
-    private record Gate(GatewayServer server, int port) implements Rig.Running {
+    private record Gate(GatewayServer server, int port, Recorder recorder) implements Rig.Running {
         @Override
         public void kill() throws java.io.IOException {
             server.close();
+            ended();
+        }
+
+        private void ended() throws java.io.IOException {
+            if (recorder != null) {
+                recorder.close();
+            }
         }
 
         @Override
@@ -132,6 +152,7 @@
         @Override
         public void drain(double mostMs) throws java.io.IOException {
             server.drain(mostMs);
+            ended();
         }
     }
 }
--- a/app/src/main/java/walnutfield/app/Settings.java
+++ b/app/src/main/java/walnutfield/app/Settings.java
@@ -7,16 +7,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Function;
-import walnutfield.desk.Desk;
 import walnutfield.gateway.Catalogue;
 import walnutfield.gateway.Terms;
 import walnutfield.net.Client;
+import walnutfield.net.Clock;
 import walnutfield.net.Limits;
 import walnutfield.play.Band;
 import walnutfield.play.ColdTerms;
 import walnutfield.play.CustomerId;
-import walnutfield.play.Gateway;
 import walnutfield.play.Ladder;
 import walnutfield.play.LegTerms;
 import walnutfield.play.LinkTerms;
@@ -27,6 +25,7 @@
 import walnutfield.play.Share;
 import walnutfield.play.ShedTerms;
 import walnutfield.play.TitleId;
+import walnutfield.record.Making;
 
 /** Cuts checked settings up into what each part takes; what the schema cannot say is refused here. */
 final class Settings {
@@ -74,16 +73,26 @@
         return new ColdTerms(c.number("from"), c.number("warm-ms"), c.number("multiple"), c.number("fall-ms"));
     }
 
-    /** Makes desks of these settings for one gateway among its fellows. */
-    static Function<Gateway, Desk> desks(Xml root, Post post, Ladder ladder, LinkTerms links, List<Share> shares) {
-        LegTerms legs = legs(root);
-        ColdTerms cold = cold(root);
-        ShedTerms shed = new ShedTerms(root.one("shed").number("most-hold-off-ms"));
+    /** How a desk is made of these settings for one gateway among its fellows. */
+    static Making making(Xml root, String gateway, Post post, Ladder ladder, LinkTerms links, List<Share> shares) {
         Xml r = root.one("reports");
-        ReportTerms reports = new ReportTerms(r.flag("probes"), r.number("probe-price"), r.number("told-late-ms"),
-            r.flag("ask-for-list"));
-        MoveTerms moves = new MoveTerms(root.one("moves").number("price"));
-        return out -> new Desk(post, ladder, links, legs, cold, shed, reports, moves, shares, out, null);
+        return new Making(gateway, Main.BUILD, Clock.now(), post, ladder, links, legs(root), cold(root),
+            new ShedTerms(root.one("shed").number("most-hold-off-ms")), new ReportTerms(r.flag("probes"),
+                r.number("probe-price"), r.number("told-late-ms"), r.flag("ask-for-list")),
+            new MoveTerms(root.one("moves").number("price")), shares);
+    }
+
+    /** The making of a gateway's own settings. */
+    static Making making(Xml root) throws BadSettings {
+        return making(root, root.text("name"), post(root), ladder(root), links(root), shares(root));
+    }
+
+    /** The whole of a gateway's settings, held against the rules. */
+    static void check(Xml root) throws BadSettings {
+        Ladder ladder = ladder(root);
+        catalogue(root, ladder, bands(root, ladder.kb().size()));
+        list(root);
+        making(root);
     }
 
     static Terms.Front front(Xml root) {
--- a/gateway/src/main/java/walnutfield/gateway/DeskThread.java
+++ b/gateway/src/main/java/walnutfield/gateway/DeskThread.java
@@ -17,6 +17,7 @@
 final class DeskThread {
     private static final Logger LOG = LoggerFactory.getLogger(DeskThread.class);
     private static final long IDLE_MS = 1000;
+    private static final long STOP_MS = 2000;
 
     private record Timer(double at, long order, Runnable what) { }
 
@@ -89,9 +90,15 @@
         return queue.size();
     }
 
+    /** Ends it; the desk has had its last call when this returns. */
     void stop() {
         stopped = true;
         thread.interrupt();
+        try {
+            thread.join(STOP_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /**
--- a/gateway/src/main/java/walnutfield/gateway/ListClient.java
+++ b/gateway/src/main/java/walnutfield/gateway/ListClient.java
@@ -39,6 +39,11 @@
     private long number = -1;
     private boolean connected;
     private boolean told; // the module was told that it is lost
+    /**
+     * Nothing was kept: the first list is told as one that proves nothing of now. Guards against a gateway that starts
+     * with no list and takes every host that may be cold for a warm one; it harms by a slow start where all are warm.
+     */
+    private boolean unproven;
     private Client.Sent open;
     private final Runnable changed;
 
@@ -75,6 +80,7 @@
                     .log("kept list not used");
             }
         }
+        unproven = lines.isEmpty();
         to.accept(new Call.ListRemembered(lines));
         connect();
     }
@@ -161,7 +167,9 @@
             keep();
         }
         List<HostLine> lines = l.hosts().stream().map(HostEntry::line).toList();
-        to.accept(l.whole() ? new Call.ListWhole(lines) : new Call.ListChanged(lines));
+        to.accept(!l.whole() ? new Call.ListChanged(lines) : unproven ? new Call.ListRemembered(lines)
+            : new Call.ListWhole(lines));
+        unproven = false;
         changed.run();
     }
 
--- a/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
@@ -315,6 +315,19 @@
         }
     }
 
+    /** Without a kept list the first one proves nothing of now; later ones are whole lists like any other. */
+    @Test
+    void aFirstListWithoutAKeptOneProvesNothing() throws Exception {
+        try (Outside o = Outside.up(1)) {
+            assertEquals(List.of("ListRemembered[lines=[]]", "ListRemembered[lines=[HostLine"), o.calls.stream()
+                .filter(c -> c.startsWith("List")).map(c -> c.replaceAll("HostLine.*", "HostLine")).toList());
+            o.list.abort();
+            o.follow();
+            o.tell(o.whole());
+            o.until("ListWhole[lines=[HostLine");
+        }
+    }
+
     @Test
     void theListIsKeptOverARestartAndAskedForAgain(@TempDir Path dir) throws Exception {
         Path kept = dir.resolve("hosts");
--- a/record/src/main/java/walnutfield/record/Damaged.java
+++ b/record/src/main/java/walnutfield/record/Damaged.java
@@ -12,6 +12,13 @@
         this.offset = offset;
     }
 
+    /** The same of a named file. */
+    public Damaged(String file, Damaged of) {
+        super(file + of.getMessage());
+        offset = of.offset;
+    }
+
+    /** Bytes from the beginning of the file. */
     public long offset() {
         return offset;
     }
