--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -98,9 +100,12 @@
     @Command(name = "rehearse", mixinStandardHelpOptions = true,
         description = "Plays a scripted day with stand-ins on loopback sockets and audits the six rules.")
     static final class RehearseCommand implements Callable<Integer> {
-        @Parameters(index = "0", paramLabel = "SCRIPT.xml")
+        @Parameters(index = "0", arity = "0..1", paramLabel = "SCRIPT.xml")
         private Path file;
 
+        @Option(names = "--like", paramLabel = "DAY", description = "a script of the same kinds of trouble as a bench's day")
+        private Path like;
+
         @Option(names = "--seed", description = "in place of the script's")
         private Long seed;
 
@@ -124,13 +129,24 @@
 
         @Override
         public Integer call() throws Exception {
-            Script script = new Script(Xml.read(file, "day"), new Script.Instead(seed, gateways, hosts));
+            if ((file == null) == (like == null)) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "either SCRIPT.xml or --like DAY");
+            }
+            LikeDay day = like == null ? null : LikeDay.read(like);
+            if (day != null) {
+                day.notes().forEach(n -> spec.commandLine().getOut().println("like: " + n));
+            }
+            Script script = new Script(day == null ? Xml.read(file, "day") : Xml.parse(like + " as a script", day.script(),
+                "day"), new Script.Instead(seed, gateways, hosts));
             if (record && out == null) {
                 throw new CommandLine.ParameterException(spec.commandLine(), "--record goes with --out DIR");
             }
             if (out != null) {
                 Files.createDirectories(out);
             }
+            if (day != null && out != null) {
+                Files.writeString(out.resolve("script.xml"), day.script());
+            }
             Logs.to(out == null ? null : out.resolve("log.json"), out == null ? Level.ERROR : Level.INFO);
             Rehearsal.Outcome o = new Rehearsal(script.day(), script.rig(record ? out : null)).run();
             StringBuilder text = new StringBuilder();
@@ -164,9 +180,30 @@
     @Command(name = "adapter", mixinStandardHelpOptions = true,
         description = "Speaks the bench's wire on standard input and output.")
     static final class AdapterCommand implements Callable<Integer> {
+        @Option(names = "--record", paramLabel = "DIR", description = "records each instance's desk to DIR/*.record")
+        private Path record;
+
         @Override
         public Integer call() throws Exception {
-            return Adapter.run(System.in, System.out, System.err);
+            if (record == null) {
+                return Adapter.run(System.in, System.out, System.err);
+            }
+            Logs.to(null, Level.ERROR);
+            Files.createDirectories(record);
+            List<Recorder> all = new ArrayList<>();
+            try {
+                return Adapter.run(System.in, System.out, System.err,
+                    (number, post, ladder, links, legs, cold, sheds, reports, moves, shares) -> {
+                        String name = "instance-" + number + "-" + (all.size() + 1);
+                        all.add(new Recorder(record.resolve(name + ".record"), new Making(name, BUILD, 0, post, ladder,
+                            links, legs, cold, sheds, reports, moves, shares), Long.MAX_VALUE, Double.MAX_VALUE));
+                        return all.get(all.size() - 1);
+                    });
+            } finally {
+                for (Recorder r : all) {
+                    r.close();
+                }
+            }
         }
     }
 
--- a/bench/src/main/java/walnutfield/bench/Adapter.java
+++ b/bench/src/main/java/walnutfield/bench/Adapter.java
@@ -46,17 +46,24 @@
     private final Map<Integer, Instance> instances = new HashMap<>();
     /** The lists last seen under each number, not yet read for any instance. */
     private final Map<Integer, JsonNode> sheets = new HashMap<>();
+    private final Ears ears;
     private final JsonGenerator out;
     private double now = Double.NaN;
 
-    private Adapter(OutputStream to) throws IOException {
+    private Adapter(OutputStream to, Ears ears) throws IOException {
+        this.ears = ears;
         out = json.createGenerator(to).disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
         out.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
     }
 
     /** Runs to the end of input; the result is the program's exit status. */
     public static int run(InputStream in, OutputStream to, PrintStream complaints) throws IOException {
-        Adapter adapter = new Adapter(to);
+        return run(in, to, complaints, Ears.NONE);
+    }
+
+    /** The same with listeners at the instances' desks. */
+    public static int run(InputStream in, OutputStream to, PrintStream complaints, Ears ears) throws IOException {
+        Adapter adapter = new Adapter(to, ears);
         BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
         long number = 0;
         for (String line = lines.readLine(); line != null; line = lines.readLine()) {
@@ -124,7 +131,7 @@
             }
             Settings settings = new Settings(all);
             guarded(number, () ->
-                instances.put(number, new Instance(settings, settings.desk(seed, new Replies(out, number)))));
+                instances.put(number, new Instance(settings, settings.desk(seed, new Replies(out, number), ears, number))));
             return;
         }
         Instance to = instances.get(number);
--- a/bench/src/main/java/walnutfield/bench/Settings.java
+++ b/bench/src/main/java/walnutfield/bench/Settings.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -59,7 +61,7 @@
         return out;
     }
 
-    Desk desk(long seed, Gateway out) {
+    Desk desk(long seed, Gateway out, Ears ears, int number) {
         JsonNode fam = all.path("familyInfo");
         JsonNode limits = all.path("limits");
         JsonNode rules = all.path("rules");
@@ -72,23 +74,27 @@
                 a.path("allowancePerS").asDouble(), all.path("overShareWorth").asDouble(1)));
         }
         JsonNode ration = rules.path("ratioSpan").asDouble() > 0 ? rules : MissingNode.getInstance();
-        return new Desk(
-            new Post(seed, all.path("me").asInt(), Math.max(1, all.path("balancers").asInt(1)),
-                new PlaceId(all.path("zone").asText())),
-            new Ladder(row(fam.path("levelKb")), row(fam.path("worthByRung")),
-                fam.path("stall").asDouble()),
-            new LinkTerms(fam.path("allLinksKb").asDouble(), fam.path("weightKb").asDouble(),
+        Post post = new Post(seed, all.path("me").asInt(), Math.max(1, all.path("balancers").asInt(1)),
+                new PlaceId(all.path("zone").asText()));
+        Ladder ladder = new Ladder(row(fam.path("levelKb")), row(fam.path("worthByRung")),
+                fam.path("stall").asDouble());
+        LinkTerms links = new LinkTerms(fam.path("allLinksKb").asDouble(), fam.path("weightKb").asDouble(),
                 fam.path("rackKb").asDouble(), fam.path("racks").asInt(), fam.path("positions").asInt(),
-                weights.equals("nominal") || weights.equals("rough")),
-            new LegTerms(limits.path("tryLimit").asInt(1), ration.path("spareAttempts").asDouble(),
-                ration.path("extraRatio").asDouble(-1), ration.path("ratioSpan").asDouble()),
-            new ColdTerms(rules.path("coldFrom").asDouble(1), rules.path("warmWithin").asDouble(),
-                rules.path("fallMultiple").asDouble(1), rules.path("fall").asDouble()),
-            new ShedTerms(limits.path("retryAfter").asBoolean() ? limits.path("maxRetryAfter").asDouble() : 0),
-            new ReportTerms(limits.path("probing").asBoolean() && !how.equals("off"),
+                weights.equals("nominal") || weights.equals("rough"));
+        LegTerms legs = new LegTerms(limits.path("tryLimit").asInt(1), ration.path("spareAttempts").asDouble(),
+                ration.path("extraRatio").asDouble(-1), ration.path("ratioSpan").asDouble());
+        ColdTerms cold = new ColdTerms(rules.path("coldFrom").asDouble(1), rules.path("warmWithin").asDouble(),
+                rules.path("fallMultiple").asDouble(1), rules.path("fall").asDouble());
+        ShedTerms sheds = new ShedTerms(limits.path("retryAfter").asBoolean() ? limits.path("maxRetryAfter").asDouble() : 0);
+        ReportTerms reports = new ReportTerms(limits.path("probing").asBoolean() && !how.equals("off"),
                 fees.path("probe").asDouble(),
-                fam.path("toldLate").asDouble(), all.path("discovery").asText().equals("ask")),
-            new MoveTerms(fees.path("moves").asDouble()),
-            shares, out, null);
+                fam.path("toldLate").asDouble(), all.path("discovery").asText().equals("ask"));
+        MoveTerms moves = new MoveTerms(fees.path("moves").asDouble());
+        try {
+            return new Desk(post, ladder, links, legs, cold, sheds, reports, moves, shares, out,
+                ears.of(number, post, ladder, links, legs, cold, sheds, reports, moves, shares));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 }
--- a/standins/src/main/java/walnutfield/standin/MediaHosts.java
+++ b/standins/src/main/java/walnutfield/standin/MediaHosts.java
@@ -100,6 +100,7 @@
     private double beatAt;
     private double tellAt;
     private double refreshAt;
+    private double lateMore;
 
     public MediaHosts(List<HostPlan> plans, HostTerms terms, long seed, Auditor auditor) throws IOException {
         this.terms = terms;
@@ -209,6 +210,11 @@
         hosts.get(host).slowMs = ms;
     }
 
+    /** What all hosts tell of playing plays is so much later than usual. */
+    public synchronized void reportsLate(double ms) {
+        lateMore = ms;
+    }
+
     /** Its link gives this part of what it did. */
     public synchronized void link(String host, double part) {
         hosts.get(host).linkPart = part;
@@ -537,7 +543,7 @@
 
     private void later(Session s, Event e) {
         Exchange to = s.stream;
-        timers.schedule(() -> to.piece(e.bytes()), (long) terms.lateMs(), TimeUnit.MILLISECONDS);
+        timers.schedule(() -> to.piece(e.bytes()), (long) (terms.lateMs() + lateMore), TimeUnit.MILLISECONDS);
     }
 
     /** Sessions on a host now. */
--- a/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
+++ b/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
@@ -316,6 +316,7 @@
             case FAILING -> hosts.failing(name, begins ? f.amount() : 0);
             case SLOW -> hosts.slow(name, begins ? f.amount() : 0);
             case ANSWERS_LOST -> hosts.answersLost(name, begins);
+            case REPORTS_LATE -> hosts.reportsLate(begins ? f.amount() : 0);
             case WEAK_LINK -> hosts.link(name, begins ? f.amount() : 1);
             default -> throw new IllegalStateException("no fault of hosts: " + f.kind());
         }
