--- a/record/src/main/java/walnutfield/record/Recorder.java
+++ b/record/src/main/java/walnutfield/record/Recorder.java
@@ -29,7 +29,9 @@
     /** What is written next: a call with its results, or what comes after a gap. */
     private record Item(double time, Call call, List<Result> results, Dropped gap, Snapshot then) { }
 
-    private final ArrayBlockingQueue<Item> queue = new ArrayBlockingQueue<>(WAITING);
+    private final ArrayBlockingQueue<Item> queue;
+    private final int waiting;
+    private final Runnable before;
     private final Tracker tracker = new Tracker();
     private final FrameWriter out;
     private final long mostBytes;
@@ -51,6 +53,17 @@
      * @param mostMs    nor so long after its first call
      */
     public Recorder(Path file, Making making, long mostBytes, double mostMs) throws IOException {
+        this(file, making, mostBytes, mostMs, WAITING, () -> { });
+    }
+
+    /**
+     * @param waiting calls that may wait for the disk
+     * @param before  runs on the writing thread before it writes anything
+     */
+    Recorder(Path file, Making making, long mostBytes, double mostMs, int waiting, Runnable before) throws IOException {
+        this.before = before;
+        this.waiting = waiting;
+        queue = new ArrayBlockingQueue<>(waiting);
         this.mostBytes = mostBytes;
         this.mostMs = mostMs;
         out = new FrameWriter(file);
@@ -89,13 +102,11 @@
             return;
         }
         if (droppedNow > 0) { // there may be room again: the snapshot stands for this call too
+            drop();
             Item gap = new Item(time, null, null, gap("the disk was too slow"), tracker.snapshot(time));
-            if (queue.remainingCapacity() > WAITING / 2 && queue.offer(gap)) {
-                dropped += 1;
+            if (queue.remainingCapacity() > waiting / 2 && queue.offer(gap)) {
                 droppedNow = 0;
-                return;
             }
-            drop();
             return;
         }
         if (queue.offer(new Item(time, whole, results, null, null))) {
@@ -117,6 +128,7 @@
 
     private void write() {
         try {
+            before.run();
             while (!closing || !queue.isEmpty()) {
                 Item i = queue.poll(FLUSH_MS, TimeUnit.MILLISECONDS);
                 if (i == null) {
--- a/record/src/main/java/walnutfield/record/WhatIf.java
+++ b/record/src/main/java/walnutfield/record/WhatIf.java
@@ -26,7 +26,8 @@
 /**
  * The same wishes under another condition: a projection. Wishes, lists and figures come as recorded. A leg on the
  * host that it was recorded on ends as recorded; one elsewhere is served in that host's usual time, or fails with the
- * others' there at that time. Plays last as recorded. What hosts would have told of other loads is not known.
+ * others' there at that time. Plays last as recorded. Probes tell what those did that were nearest in time: what hosts
+ * would have told of other loads is not known.
  */
 public final class WhatIf implements Gateway {
     private static final double SAME_TIME_MS = 1000; // a leg elsewhere fails if the host's nearest so near did
@@ -61,7 +62,7 @@
 
         void called(Call c) {
             if (c instanceof Call.WishTaken w) {
-                plays++;
+                plays += w.wish().moved() ? 0 : 1; // a moved one has been counted
                 rung.put(w.wish().play(), w.wish().band().floor());
             } else if (c instanceof Call.Started s) {
                 started++;
@@ -91,6 +92,7 @@
     }
 
     private final Map<String, List<Seen>> seen = new HashMap<>();       // by host, in the order of time
+    private final Map<String, List<Seen>> probes = new HashMap<>();     // those answered, by host
     private final Map<String, Seen> legs = new HashMap<>();             // by play and host
     private final Map<PlayId, Double> lasted = new HashMap<>();         // a play's time from start to end
     private final PriorityQueue<Event> events =
@@ -140,6 +142,9 @@
             } else {
                 note(e.play(), e.on(), new Seen(time, e.how(), e.tookMs(), e.load()));
             }
+        } else if (call instanceof Call.Probed p && p.how() == Outcome.SERVED) {
+            probes.computeIfAbsent(p.host().value(), k -> new ArrayList<>())
+                .add(new Seen(time, Outcome.SERVED, p.tookMs(), p.load()));
         } else if (call instanceof Call.ListRemembered l) {
             add(time, new Call.ListRemembered(kept(l.lines())));
         } else if (call instanceof Call.ListWhole l) {
@@ -267,11 +272,15 @@
         forget(play);
     }
 
+    /** A probe tells what the recorded one nearest in time told. */
     @Override
     public void probe(HostId host) {
-        Seen s = likely(host);
-        boolean good = s.how() == Outcome.SERVED;
-        add(now + PROBE_MS, new Call.Probed(host, good ? Outcome.SERVED : s.how(), PROBE_MS, Load.NONE));
+        Seen leg = likely(host);
+        Seen told = probes.getOrDefault(host.value(), List.of()).stream()
+            .min(Comparator.comparingDouble(s -> Math.abs(s.at() - now))).orElse(null);
+        boolean good = leg.how() == Outcome.SERVED || told != null && Math.abs(told.at() - now) < SAME_TIME_MS;
+        add(now + PROBE_MS, new Call.Probed(host, good ? Outcome.SERVED : leg.how(), PROBE_MS,
+            told == null ? Load.NONE : told.load()));
     }
 
     @Override
