--- a/app/src/main/java/walnutfield/app/MeasureCommand.java
+++ b/app/src/main/java/walnutfield/app/MeasureCommand.java
@@ -152,7 +152,10 @@
                 try (Child child = new Child(List.of(), "bare")) {
                     bare = times(client, child.at, fleet, "bare", out);
                 }
-                Times ours = gateway(client, fleet, dir, out, more);
+                Times ours = gateway(client, fleet, dir, out, more, false);
+                Times recorded = gateway(client, fleet, dir, out, more, true);
+                more.append(String.format(Locale.ROOT, "%d hosts: recording takes %.1f%% of the set-ups a second%n", fleet,
+                    100 - 100 * recorded.perS() / ours.perS()));
                 more.append(String.format(Locale.ROOT, "%d hosts: added time at %.0f plays/s: p50 %.2f ms, p99 %.2f ms; "
                     + "%.1f%% of the bare server's rate%n", fleet, rate, ms(ours, 50) - ms(bare, 50),
                     ms(ours, 99) - ms(bare, 99), 100 * ours.perS() / bare.perS()));
@@ -169,7 +172,8 @@
         return t.us().getValueAtPercentile(percentile) / 1000.0;
     }
 
-    private Times gateway(Client client, int fleet, Path dir, StringBuilder out, StringBuilder more) throws Exception {
+    private Times gateway(Client client, int fleet, Path dir, StringBuilder out, StringBuilder more, boolean record)
+        throws Exception {
         Ladder ladder = new Ladder(List.of(90.0, 200.0, 400.0, 800.0), List.of(0.22, 0.5, 0.8, 1.0), 7);
         Map<String, Band> bands = new LinkedHashMap<>();
         bands.put("b", new Band("b", 1000, 5000, 1, false, 1, 0, 3, 0));
@@ -185,13 +189,16 @@
             Files.writeString(config, settings(fleet, list.port()));
             Times taken;
             try (MediaHosts hosts = new MediaHosts(plans, terms, 1, auditor);
-                 Child child = child(config, hosts, list)) {
-                taken = times(client, child.at, fleet, "gateway", out);
+                 Child child = child(config, hosts, list, record ? dir.resolve(fleet + ".record") : null)) {
+                taken = times(client, child.at, fleet, record ? "recorded" : "gateway", out);
+                if (record) {
+                    return taken;
+                }
                 more.append(fleet).append(" hosts: ").append(parts(client, child.at)).append('\n');
             }
             HostTerms long1 = new HostTerms(ladder, bands, cold, List.of(), 0, 0, 0, 500, 0, 500, 0, 1, 10, 600_000);
             try (MediaHosts hosts = new MediaHosts(plans, long1, 1, auditor);
-                 Child child = child(config, hosts, list)) {
+                 Child child = child(config, hosts, list, null)) {
                 hold(client, child.at, held);
                 long before = child.heapKb();
                 hold(client, child.at, held);
@@ -203,12 +210,14 @@
         }
     }
 
-    private Child child(Path config, MediaHosts hosts, ListService list) throws Exception {
+    private Child child(Path config, MediaHosts hosts, ListService list, Path record) throws Exception {
         for (HostPlan p : hosts.plans()) {
             list.publish(new HostEntry(new HostLine(new HostId(p.name()), new PlaceId(p.place()), p.slots(), p.cell(),
                 HostLine.Standing.READY, 1, 0), new InetSocketAddress("127.0.0.1", hosts.port(p.name()))));
         }
-        Child c = new Child(List.of("-Xmx1g", "-XX:+UseSerialGC"), "gateway", config.toString());
+        Child c = new Child(List.of("-Xmx1g", "-XX:+UseSerialGC"), record == null
+            ? new String[] {"gateway", config.toString()}
+            : new String[] {"gateway", config.toString(), "--record", record.toString()});
         Thread.sleep(1000); // it follows the list
         return c;
     }
--- /dev/null
+++ b/jmh/src/main/java/walnutfield/jmh/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks with JMH: java -jar jmh/target/walnutfield-jmh.jar. */
+package walnutfield.jmh;
