--- a/app/src/main/java/walnutfield/app/Logs.java
+++ b/app/src/main/java/walnutfield/app/Logs.java
@@ -42,6 +42,7 @@
         context.getLogger("ROOT").setLevel(Level.WARN);
         context.getLogger("walnutfield").setLevel(level);
         context.getLogger("access").setLevel(level);
+        context.getLogger("insert").setLevel(level);
         context.getLogger("ROOT").addAppender(out);
         java.util.logging.LogManager.getLogManager().reset(); // Grizzly's own
     }
--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -58,6 +58,10 @@
         @Option(names = "--record", paramLabel = "FILE", description = "records what passes the desk")
         private Path record;
 
+        @Option(names = "--inserts", paramLabel = "FILE.xml",
+            description = "a schedule that is read again whenever the file changes, in place of the settings' own")
+        private Path inserts;
+
         @Option(names = "--record-mb", defaultValue = "1024", description = "of a record at most (${DEFAULT-VALUE})")
         private long mostMb;
 
@@ -77,6 +81,10 @@
             GatewayServer g = new GatewayServer(root.text("name"), Settings.front(root), Settings.hosts(root),
                 Settings.list(root), Settings.catalogue(root, ladder, Settings.bands(root, ladder.kb().size())),
                 registry, registry::scrape, out -> making.desk(out, recorder));
+            g.schedule(Settings.schedule(root));
+            if (inserts != null) {
+                new Watched(inserts, Settings.bands(root, ladder.kb().size()), g::schedule).start();
+            }
             CountDownLatch ended = new CountDownLatch(1);
             double drainMs = root.one("front").number("drain-ms");
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/app/src/main/java/walnutfield/app/Script.java
+++ b/app/src/main/java/walnutfield/app/Script.java
@@ -27,6 +27,8 @@
 import walnutfield.standin.day.Day;
 import walnutfield.standin.day.Fault;
 import walnutfield.standin.day.Rig;
+import walnutfield.stitch.Insert;
+import walnutfield.stitch.Schedule;
 
 /** A day's script: what the stand-ins take of it, and how the gateways are set up for it. */
 final class Script {
@@ -39,6 +41,7 @@
     private final Map<String, Band> bands;
     private final LinkTerms links;
     private final Catalogue catalogue;
+    private final Schedule schedule;
 
     /** What the command line puts in place of the script's own; null for nothing. */
     record Instead(Long seed, Integer gateways, Integer hosts) { }
@@ -85,11 +88,21 @@
         root.one("bands").all("band").forEach(b -> mix.put(b.text("name"), b.number("weight")));
         Crowd crowd = new Crowd(viewers.number("per-s"), mix, titles.number("skew"), viewers.number("returns"),
             viewers.number("twice"), viewers.number("impatient"), viewers.number("weakest"), plans);
-        HostTerms terms = new HostTerms(ladder, bands, Settings.cold(root), uplinked ? uplinks : List.of(),
+        schedule = Settings.schedule(root);
+        Map<Long, HostTerms.Piece> pieces = new HashMap<>();
+        for (Xml i : root.has("inserts") ? root.one("inserts").all("insert") : List.<Xml>of()) {
+            pieces.put(i.longWhole("title"), new HostTerms.Piece(i.number("duration-ms") / 1000, i.whole("target-s"),
+                i.whole("top-rung"), i.flag("damaged")));
+        }
+        Map<String, Band> all = new LinkedHashMap<>(bands); // inserts are placed under bands of their own
+        for (Insert i : schedule.inserts()) {
+            bands.values().forEach(b -> all.put(Insert.INSERT_BAND + b.name(), i.bandWithin(b, 1)));
+        }
+        HostTerms terms = new HostTerms(ladder, all, Settings.cold(root), uplinked ? uplinks : List.of(),
             fleet.number("guard"), fleet.number("work-ms"), fleet.number("off-ladder"), fleet.number("refresh-ms"),
             fleet.number("noise"), fleet.number("late-ms"), fleet.number("tell-ms"), titles.number("segment-s"),
-            titles.whole("segments"), viewers.number("idle-ms"));
-        Rules rules = new Rules(bands, Settings.legs(root), Settings.cold(root),
+            titles.whole("segments"), viewers.number("idle-ms"), pieces);
+        Rules rules = new Rules(all, Settings.legs(root), Settings.cold(root),
             root.one("drains").number("grace-ms"), root.number("slack-ms"));
         double lengthMs = root.number("seconds") * 1000;
         List<Fault> faults = new ArrayList<>();
@@ -126,6 +139,7 @@
                 + ".record"), making, RECORD_BYTES, RECORD_MS);
             GatewayServer g = new GatewayServer(name, front, hosts, new Terms.Lists(service, null, 500), catalogue,
                 new SimpleMeterRegistry(), () -> "", out -> making.desk(out, recorder));
+            g.schedule(schedule);
             return new Gate(g, g.start(), recorder);
         };
     }
--- a/app/src/main/java/walnutfield/app/Settings.java
+++ b/app/src/main/java/walnutfield/app/Settings.java
@@ -6,7 +6,13 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import javax.xml.datatype.DatatypeConfigurationException;
+import javax.xml.datatype.DatatypeFactory;
 import walnutfield.gateway.Catalogue;
 import walnutfield.gateway.Terms;
 import walnutfield.net.Client;
@@ -26,6 +32,9 @@
 import walnutfield.play.ShedTerms;
 import walnutfield.play.TitleId;
 import walnutfield.record.Making;
+import walnutfield.stitch.Insert;
+import walnutfield.stitch.InsertId;
+import walnutfield.stitch.Schedule;
 
 /** Cuts checked settings up into what each part takes; what the schema cannot say is refused here. */
 final class Settings {
@@ -93,6 +102,7 @@
         catalogue(root, ladder, bands(root, ladder.kb().size()));
         list(root);
         making(root);
+        schedule(root);
     }
 
     static Terms.Front front(Xml root) {
@@ -135,6 +145,49 @@
         return new Catalogue(titles, bands, ladder);
     }
 
+    /** The schedule of inserts, which is taken as a whole or refused by the line of what is wrong in it. */
+    static Schedule schedule(Xml parent, Map<String, Band> bands) throws BadSettings {
+        List<Xml> all = parent.all("insert");
+        List<Insert> inserts = new ArrayList<>();
+        for (Xml i : all) {
+            Set<String> named = words(i.text("bands"));
+            for (String b : named) {
+                if (!bands.containsKey(b)) {
+                    throw i.bad("insert " + i.text("id") + " is for band " + b + ", which is none");
+                }
+            }
+            inserts.add(new Insert(new InsertId(i.text("id")), new TitleId(i.longWhole("title")), i.whole("first-cell"),
+                i.whole("holders"), i.whole("top-rung"), i.number("duration-ms"), i.whole("target-s"),
+                Insert.Place.valueOf(i.text("place").toUpperCase(Locale.ROOT)), i.number("at-ms"), i.number("instead-ms"),
+                i.flag("must"), named, words(i.text("customers")).stream().map(CustomerId::new).collect(Collectors.toSet()),
+                time(i, "from"), time(i, "until"), i.whole("per-hour")));
+        }
+        Schedule s = new Schedule(inserts);
+        Schedule.Fault f = s.fault().orElse(null);
+        if (f != null) {
+            throw all.get(f.insert()).bad(f.reason());
+        }
+        return s;
+    }
+
+    /** The schedule in a file of its own or of other settings. */
+    static Schedule schedule(Xml root) throws BadSettings {
+        return root.has("inserts") ? schedule(root.one("inserts"), bands(root, ladder(root).kb().size())) : Schedule.NONE;
+    }
+
+    private static Set<String> words(String text) {
+        return text.isBlank() ? Set.of() : new TreeSet<>(List.of(text.strip().split("\\s+")));
+    }
+
+    private static double time(Xml i, String name) throws BadSettings {
+        try {
+            return DatatypeFactory.newInstance().newXMLGregorianCalendar(i.text(name)).toGregorianCalendar()
+                .getTimeInMillis();
+        } catch (DatatypeConfigurationException | IllegalArgumentException e) {
+            throw i.bad(name + " is no time");
+        }
+    }
+
     static LinkTerms links(Xml root) {
         Xml l = root.one("links");
         return new LinkTerms(l.number("all-kb"), l.number("unit-kb"), l.number("rack-kb"), l.whole("racks"),
--- a/gateway/src/main/java/walnutfield/gateway/Figures.java
+++ b/gateway/src/main/java/walnutfield/gateway/Figures.java
@@ -43,6 +43,11 @@
         registry.counter("walnutfield.plays", "end", end, "band", band).increment();
     }
 
+    /** What became of an insert. */
+    void insert(String what, String id) {
+        registry.counter("walnutfield.inserts", "what", what, "insert", id).increment();
+    }
+
     void gauge(String name, java.util.function.Supplier<Number> value) {
         io.micrometer.core.instrument.Gauge.builder("walnutfield." + name, value).register(registry);
     }
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -15,6 +15,7 @@
 import walnutfield.net.Clock;
 import walnutfield.net.Server;
 import walnutfield.play.Gateway;
+import walnutfield.stitch.Schedule;
 
 /** One running gateway: its front, its desk's thread, its ways to hosts and list. */
 public final class GatewayServer implements AutoCloseable {
@@ -75,6 +76,11 @@
         return port;
     }
 
+    /** From now on these inserts are stitched into viewings that begin; those under way keep theirs. */
+    public void schedule(Schedule next) {
+        thread.post(() -> plays.schedule(next));
+    }
+
     /** Takes nothing new, answers what it holds, then ends; after that time it ends in any case. */
     public void drain(double mostMs) throws IOException {
         front.drain();
--- a/gateway/src/main/java/walnutfield/gateway/HostClient.java
+++ b/gateway/src/main/java/walnutfield/gateway/HostClient.java
@@ -65,15 +65,15 @@
         return playlist(host, Request.of("PUT", "/sessions/" + session + "?rung=" + rung, headers(), ""), to);
     }
 
+    /** Tells the host that the viewer fetches nothing there for so long: the session is not idle. */
+    void pause(InetSocketAddress host, String session, int rung, double ms) {
+        client.send(host, Request.of("PUT", "/sessions/" + session + "?rung=" + rung + "&pause=" + (long) Math.ceil(ms),
+            headers(), ""), new Ignored());
+    }
+
     /** Ends a session; nothing is made of the answer, as a host ends by itself what no stream is open for. */
     void end(InetSocketAddress host, String session) {
-        client.send(host, Request.of("DELETE", "/sessions/" + session, headers(), ""), new Collected() {
-            @Override
-            void whole(int status, Headers headers, String body) { }
-
-            @Override
-            void not(Client.Failure how) { }
-        });
+        client.send(host, Request.of("DELETE", "/sessions/" + session, headers(), ""), new Ignored());
     }
 
     void probe(InetSocketAddress host, Consumer<Reply> to) {
@@ -163,6 +163,15 @@
         client.close();
     }
 
+    /** An answer of which nothing is made. */
+    private static final class Ignored extends Collected {
+        @Override
+        void whole(int status, Headers headers, String body) { }
+
+        @Override
+        void not(Client.Failure how) { }
+    }
+
     /** An answer taken as a whole. */
     private abstract static class Collected implements Client.Answer {
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -25,6 +25,8 @@
 import walnutfield.play.Wanted;
 import walnutfield.resume.Resume;
 import walnutfield.sse.Event;
+import walnutfield.stitch.Schedule;
+import walnutfield.stitch.Stitcher;
 
 /**
  * The viewings of one gateway: tells the desk what happens to them and carries out what it decides. All on the
@@ -41,6 +43,7 @@
     private final Catalogue catalogue;
     private final String name;
     private final Desk desk;
+    private final Inserts inserts;
     private final Figures figures;
     private final Map<Viewing.Key, Viewing> open = new HashMap<>();      // emptied as viewings end
     private final Map<PlayId, Viewing> byPlay = new LinkedHashMap<>();   // emptied as plays end
@@ -63,12 +66,14 @@
         this.front = front;
         this.hostTerms = hostTerms;
         this.catalogue = catalogue;
+        inserts = new Inserts(thread, new Stitching(), figures);
         desk = maker.apply(this);
     }
 
     void begin(ListClient with) {
         list = with;
         list.remembered();
+        inserts.begin();
         thread.at(thread.now() + front.idleMs() / 2, this::lookForIdle);
     }
 
@@ -109,7 +114,7 @@
     /** A viewer asked at that time; a second request for what is open joins it. */
     void asked(Exchange x, Viewing.Asked asked, double at) {
         Viewing v = open.get(asked.key());
-        if (v != null && v.phase == Phase.PLAYING) {
+        if (v != null && v.answered) {
             answerWith(x, v);
             return;
         }
@@ -155,9 +160,13 @@
 
     private Wanted wish(Viewing v, boolean moved, double leftMs) {
         Viewing.Asked a = v.asked;
-        Catalogue.Title t = catalogue.titles().get(a.title());
-        double length = v.phase == Phase.PLAYING ? v.playlist.unlistedMs() : t.lengthMs();
-        return new Wanted(v.play, a.viewer(), a.title(), a.customer(), a.band(), t.firstCell(), t.holders(),
+        boolean insert = v.main != null;
+        Catalogue.Title t = insert ? null : catalogue.titles().get(a.title());
+        double length = insert ? v.slot.insert().durationMs() : v.phase == Phase.PLAYING ? v.playlist.unlistedMs()
+            : t.lengthMs();
+        int cell = insert ? v.slot.insert().firstCell() : t.firstCell();
+        int holders = insert ? v.slot.insert().holders() : t.holders();
+        return new Wanted(v.play, a.viewer(), a.title(), a.customer(), a.band(), cell, holders,
             a.bestRung(), moved, length, leftMs);
     }
 
@@ -206,6 +215,11 @@
         }
     }
 
+    private void answerAll(Viewing v) {
+        v.answered = true;
+        answerAll(v, x -> answerWith(x, v));
+    }
+
     private void answerWith(Exchange x, Viewing v) {
         Ladder ladder = catalogue.ladder();
         int top = Math.max(v.asked.band().floor(), Math.min(v.asked.bestRung(),
@@ -216,6 +230,7 @@
     /** The viewing's last line; its playlist stays for whoever is still reading it. */
     private void over(Viewing v, String end) {
         v.phase = Phase.OVER;
+        inserts.over(v);
         open.remove(v.asked.key(), v);
         figures.over(end, v.asked.band().name());
         ACCESS.atInfo().addKeyValue("play", v.session).addKeyValue("end", end).addKeyValue("band", v.asked.band().name())
@@ -230,7 +245,11 @@
     private void lookForIdle() {
         double oldest = thread.now() - front.idleMs();
         for (Viewing v : new ArrayList<>(byPlay.values())) {
-            if (v.phase == Phase.PLAYING && !v.legOut && !v.playlist.isWhole() && v.playlist.polledAt() < oldest) {
+            if (v.main == null && v.phase == Phase.PLAYING) {
+                inserts.begun(v);
+            }
+            if (v.main == null && v.phase == Phase.PLAYING && !v.legOut && !v.playlist.isWhole()
+                && v.playlist.polledAt() < oldest) {
                 PlayId play = v.play;
                 if (v.stream == null) { // it waits for a place to come back to
                     giveUp(v, "viewer-idle");
@@ -298,16 +317,39 @@
             tell(new Call.Ended(play, leg, v.host, reply.how(), false, took, reply.load()));
             return;
         }
+        boolean again = v.phase == Phase.PLAYING;
         v.phase = Phase.PLAYING;
         v.startedAt = thread.now();
         v.servedRung = v.rung;
-        v.playlist.from(thread.now(), reply.playlist(), HostClient.base(v.address), v.servedRung);
-        playlists.put(v.id, v.playlist);
+        boolean fits;
+        if (v.main != null) {
+            fits = inserts.placed(v, reply);
+        } else {
+            if (!again) {
+                inserts.plan(v, reply.playlist().durationS() * 1000);
+            }
+            fits = v.playlist.from(thread.now(), reply.playlist(), HostClient.base(v.address), v.servedRung, v.session);
+        }
+        if (!fits) { // it cannot be listed: the leg counts as failed, and its session there ends
+            hosts.end(v.address, v.session);
+            v.phase = again ? Phase.PLAYING : Phase.ASKED;
+            tell(new Call.Ended(play, leg, v.host, Outcome.FAILED, v.main != null, took, reply.load()));
+            if (v.main != null) {
+                byPlay.remove(play);
+            }
+            return;
+        }
         listen(v, play);
-        if (v.comebacks == 0) {
-            figures.served(took, v.startedAt - v.takenAt);
+        if (v.main == null) {
+            playlists.put(v.id, v.playlist);
+            if (!again) {
+                figures.served(took, v.startedAt - v.takenAt);
+                inserts.follow(v);
+            }
+            if (!v.stitched.waits) {
+                answerAll(v);
+            }
         }
-        answerAll(v, x -> answerWith(x, v));
         tell(new Call.Started(play, leg, v.host, took));
         if (reply.load() != Load.NONE) {
             tell(new Call.LoadTold(v.host, reply.load()));
@@ -328,10 +370,11 @@
             if (v.play != play || v.phase != Phase.PLAYING || v.rung != rung || v.stream == null) {
                 return;
             }
-            if (reply.how() == Outcome.SERVED) {
-                v.servedRung = rung;
-                v.playlist.from(thread.now(), reply.playlist(), HostClient.base(v.address), rung);
-            } else { // the host goes on as it was
+            int before = v.servedRung;
+            v.servedRung = rung;
+            if (reply.how() != Outcome.SERVED || !(v.main != null ? inserts.rung(v, reply) : v.playlist.from(thread.now(),
+                reply.playlist(), HostClient.base(v.address), rung, v.session))) {
+                v.servedRung = before;
                 v.rung = v.servedRung;
                 tell(new Call.RungTold(play, v.servedRung));
             }
@@ -364,6 +407,11 @@
         if (v == null) {
             return;
         }
+        if (v.main != null) {
+            v.phase = Phase.OVER;
+            inserts.notTaken(v, Stitcher.Why.NO_HOST);
+            return;
+        }
         answerAll(v, x -> {
             if (status == 503) {
                 Answers.notNow(x, v.session, holdOffMs);
@@ -410,6 +458,61 @@
         LOG.info(line);
     }
 
+    /** What inserts ask of the plays. */
+    private final class Stitching implements Inserts.Host {
+        @Override
+        public void want(Viewing insert) {
+            double left = insert.asked.band().hardStopMs();
+            newPlay(insert, left);
+            tell(new Call.WishTaken(wish(insert, false, left)));
+        }
+
+        @Override
+        public void settled(Viewing main) {
+            if (main.phase == Phase.PLAYING) {
+                answerAll(main);
+            }
+        }
+
+        @Override
+        public void pause(Viewing main, double ms) {
+            if (main.stream != null) {
+                hosts.pause(main.address, main.session, main.servedRung, ms);
+            }
+        }
+
+        @Override
+        public void let(Viewing insert) {
+            PlayId play = insert.play;
+            if (byPlay.remove(play) == null) {
+                return;
+            }
+            boolean played = insert.stream != null;
+            insert.phase = Phase.OVER;
+            closeStream(insert);
+            if (played) {
+                hosts.end(insert.address, insert.session);
+            } else {
+                tell(new Call.GaveUp(play));
+            }
+            if (insert.legOut) {
+                insert.legOut = false;
+                if (insert.leg != null) {
+                    insert.leg.callOff();
+                }
+            } else if (!played) {
+                return;
+            }
+            tell(new Call.Ended(play, insert.legs - 1, insert.host, Outcome.CALLED_OFF, true, thread.now() - insert.sentAt,
+                Load.NONE));
+        }
+    }
+
+    /** From now on these inserts are stitched into viewings that begin. */
+    void schedule(Schedule next) {
+        inserts.schedule(next);
+    }
+
     // ---- Plays that play
 
     private void listen(Viewing v, PlayId play) {
@@ -423,7 +526,7 @@
             @Override
             public void event(Event e) {
                 if (e.name().equals("end")) {
-                    thread.post(() -> hostEnded(v, play));
+                    thread.post(() -> hostEnded(v, play, e.data().equals("whole")));
                 } else {
                     thread.offer(() -> figure(v, play, e));
                 }
@@ -467,14 +570,19 @@
     }
 
     /** The host says that the viewer has had all of it, or has gone. */
-    private void hostEnded(Viewing v, PlayId play) {
+    private void hostEnded(Viewing v, PlayId play, boolean whole) {
         if (!v.play.equals(play) || v.stream == null) {
             return;
         }
         closeStream(v);
         byPlay.remove(play);
-        v.playlist.end(404, 0);
-        over(v, "served");
+        if (v.main != null) {
+            v.phase = Phase.OVER;
+            inserts.ended(v, whole);
+        } else {
+            v.playlist.end(404, 0);
+            over(v, "served");
+        }
         tell(new Call.Ended(play, v.legs - 1, v.host, Outcome.SERVED, true, thread.now() - v.sentAt, Load.NONE));
     }
 
@@ -490,6 +598,12 @@
     /** The old play ends and, where it may, the viewing goes on as a new one; else it ends honestly. */
     private void comeBack(Viewing v, PlayId old, Outcome how, boolean moved) {
         byPlay.remove(old);
+        if (v.main != null) {
+            v.phase = Phase.OVER;
+            tell(new Call.Ended(old, v.legs - 1, v.host, how, true, thread.now() - v.sentAt, Load.NONE));
+            inserts.broke(v);
+            return;
+        }
         v.playlist.hold();
         boolean back = moved || Resume.comesBack(v.asked.band(), v.comebacks, thread.now() - v.startedAt,
             v.playlist.unlistedMs());
--- a/gateway/src/main/java/walnutfield/gateway/Viewing.java
+++ b/gateway/src/main/java/walnutfield/gateway/Viewing.java
@@ -11,6 +11,7 @@
 import walnutfield.play.PlayId;
 import walnutfield.play.TitleId;
 import walnutfield.play.ViewerId;
+import walnutfield.stitch.Slot;
 
 /** State of one viewing: a viewer's request for a title, and the plays that serve it one after another. */
 final class Viewing {
@@ -52,6 +53,10 @@
     Client.Sent leg;
     Client.Sent stream;
     int comebacks;
+    Inserts.Stitched stitched;       // of a programme; null before it is served
+    boolean answered;                // its viewers were told the playlist
+    Viewing main;                    // of an insert: the viewing that it is stitched into; null for a programme
+    Slot slot;                       // of an insert
 
     Viewing(Asked asked, String id, double takenAt, double aheadS) {
         this.asked = asked;
--- a/standins/src/main/java/walnutfield/standin/HostTerms.java
+++ b/standins/src/main/java/walnutfield/standin/HostTerms.java
@@ -19,8 +19,18 @@
  * @param tellMs    link figures of playing plays come so often; 0 for never
  * @param segmentS  length of a segment
  * @param segments  of a title
+ * @param pieces    titles of another length, by id
  * @param idleMs    a session whose viewer fetches nothing for so long is over
  */
 public record HostTerms(Ladder ladder, Map<String, Band> bands, ColdTerms cold, List<Double> rackKb, double guard,
                         double workMs, double offLadder, double refreshMs, double noise, double lateMs, double tellMs,
-                        double segmentS, int segments, double idleMs) { }
+                        double segmentS, int segments, double idleMs, Map<Long, Piece> pieces) {
+    /**
+     * A title that is not like the others.
+     *
+     * @param durationS its length; its last segment is the shorter
+     * @param topRung   highest rung that it is held at
+     * @param damaged   its playlists are no playlists
+     */
+    public record Piece(double durationS, double segmentS, int topRung, boolean damaged) { }
+}
--- a/standins/src/main/java/walnutfield/standin/MediaHosts.java
+++ b/standins/src/main/java/walnutfield/standin/MediaHosts.java
@@ -315,7 +315,9 @@
             }
             boolean full = h.sessions.size() >= h.plan.slots()
                 || terms.guard() > 0 && h.askedKb() > terms.guard() * h.linkKb(now);
-            if (full || random.nextDouble() < h.failing) {
+            HostTerms.Piece piece = terms.pieces().get(q.whole("title", 0));
+            boolean lacks = piece != null && q.whole("rung", 0) > piece.topRung();
+            if (full || lacks || random.nextDouble() < h.failing) {
                 auditor.legOver(play, name, full ? Auditor.Fate.TURNED_AWAY : Auditor.Fate.FAILED, now);
                 x.answer(full ? 503 : 500, loaded(h), new byte[0]);
                 return;
@@ -383,6 +385,7 @@
                 return;
             }
             s.rung = (int) x.request().parameters().whole("rung", s.rung);
+            s.fetchedAt = Math.max(s.fetchedAt, Clock.now() + x.request().parameters().whole("pause", 0));
             s.rateKb = rate(s);
             auditor.rungChanged(play, h.plan.name(), s.band, s.rung, Clock.now());
             body = playlist(s.title, s.rung);
@@ -391,13 +394,25 @@
     }
 
     private byte[] playlist(long title, int rung) {
+        HostTerms.Piece piece = terms.pieces().get(title);
+        if (piece != null && piece.damaged()) {
+            return "#EXTM3U\n#EXTINF:soon,\n".getBytes(StandardCharsets.UTF_8);
+        }
+        double segmentS = piece == null ? terms.segmentS() : piece.segmentS();
+        double left = piece == null ? terms.segments() * segmentS : piece.durationS();
         List<Segment> all = new ArrayList<>();
-        for (int i = 0; i < terms.segments(); i++) {
-            all.add(new Segment("media/" + title + "/" + rung + "/" + i + ".ts", terms.segmentS(), "", null, false,
-                List.of()));
+        for (int i = 0; left > 1e-6; i++) {
+            double d = Math.min(left, segmentS);
+            all.add(new Segment("media/" + title + "/" + rung + "/" + i + ".ts", d, "", null, false, List.of()));
+            left -= d;
         }
-        return PlaylistWriter.write(new MediaPlaylist(3, (int) Math.ceil(terms.segmentS()), 0, 0,
-            MediaPlaylist.Type.VOD, List.of(), all, true)).getBytes(StandardCharsets.UTF_8);
+        return PlaylistWriter.write(new MediaPlaylist(3, (int) Math.ceil(segmentS), 0, 0, MediaPlaylist.Type.VOD,
+            List.of(), all, true)).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private int segments(long title) {
+        HostTerms.Piece piece = terms.pieces().get(title);
+        return piece == null ? terms.segments() : (int) Math.ceil(piece.durationS() / piece.segmentS() - 1e-6);
     }
 
     private void listen(Host h, Exchange x, String play) {
@@ -430,7 +445,7 @@
             String id = x.request().parameters().get("session", "");
             Session s = h.sessions.get(id); // null for a play that has moved on: what was listed is still served
             if (s != null) {
-                s.fetchedAt = Clock.now();
+                s.fetchedAt = Math.max(s.fetchedAt, Clock.now());
                 s.fetched = Math.max(s.fetched, number + 1);
                 packets = s.rung + 1;
                 double share = share(h, Clock.now());
@@ -522,8 +537,8 @@
                     }
                     continue;
                 }
-                if (s.fetched >= terms.segments() || now - s.fetchedAt > terms.idleMs()) {
-                    s.stream.piece(new Event("end", s.fetched >= terms.segments() ? "whole" : "idle").bytes());
+                if (s.fetched >= segments(s.title) || now - s.fetchedAt > terms.idleMs()) {
+                    s.stream.piece(new Event("end", s.fetched >= segments(s.title) ? "whole" : "idle").bytes());
                     over(h, s.play);
                     continue;
                 }
--- a/standins/src/main/java/walnutfield/standin/Viewers.java
+++ b/standins/src/main/java/walnutfield/standin/Viewers.java
@@ -23,6 +23,7 @@
 import walnutfield.net.Request;
 import walnutfield.play.Band;
 import walnutfield.standin.audit.Auditor;
+import walnutfield.standin.audit.Verdict;
 
 /**
  * Viewers that ask for titles, follow their playlists, fetch every segment from where it is listed, and come again.
@@ -35,6 +36,7 @@
     /** Where a viewer may go now: a gateway's name and port; null where there is none. */
     public record Gate(String name, int port) { }
 
+    private static final int FAULTS_MOST = 100;
     private final Auditor auditor;
     private final Habits habits;
     private final Client client;
@@ -49,6 +51,8 @@
     private final AtomicLong watched = new AtomicLong();
     private final AtomicLong broken = new AtomicLong();
     private final AtomicLong malformed = new AtomicLong();
+    private final AtomicLong checked = new AtomicLong();
+    private final List<String> faults = new ArrayList<>(); // the first ones only
     private volatile boolean closing;
     private volatile String sample = "";
 
@@ -91,6 +95,21 @@
         return sample;
     }
 
+    private void wrong(String what) {
+        synchronized (faults) {
+            if (faults.size() < FAULTS_MOST) {
+                faults.add(what);
+            }
+        }
+    }
+
+    /** Whether playlists were valid at every reload, as the viewers saw them. */
+    public Verdict playlists() {
+        synchronized (faults) {
+            return new Verdict("playlists valid at every reload", checked.get(), faults);
+        }
+    }
+
     private double draw() {
         synchronized (random) {
             return random.nextDouble();
@@ -163,6 +182,7 @@
         private MediaPlaylist list;
         private boolean fetching;
         private boolean over;
+        private PlaylistCheck check = new PlaylistCheck();
 
         Viewer(long id, long title, Band band, int bestRung) {
             this.id = id;
@@ -182,6 +202,7 @@
             media = null;
             list = null;
             next = 0;
+            check = new PlaylistCheck();
             send(g, true);
             if (draw() < habits.twice()) {
                 send(g, false);
@@ -266,11 +287,17 @@
                 }
                 try {
                     list = PlaylistReader.media(body);
+                    checked.incrementAndGet();
+                    String wrong = check.take(list);
+                    if (wrong != null) {
+                        wrong(wrong);
+                    }
                     if (!sample.endsWith("ENDLIST\n") && body.length() > sample.length()) {
                         sample = body;
                     }
                 } catch (PlaylistException e) {
                     malformed.incrementAndGet();
+                    wrong(e.getMessage());
                     return;
                 }
                 fetch();
--- a/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
+++ b/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
@@ -98,7 +98,9 @@
                 Thread.sleep(20);
             }
             double end = Clock.now();
-            return new Outcome(auditor.verdicts(end), auditor.counts(), auditor.legCount(), viewers.figures(),
+            List<Verdict> verdicts = new ArrayList<>(auditor.verdicts(end));
+            verdicts.add(viewers.playlists());
+            return new Outcome(verdicts, auditor.counts(), auditor.legCount(), viewers.figures(),
                 viewers.playlist());
         } finally {
             timers.shutdownNow();
