--- a/gateway/src/test/java/walnutfield/gateway/Outside.java
+++ b/gateway/src/test/java/walnutfield/gateway/Outside.java
@@ -213,6 +213,24 @@
         return stream;
     }
 
+    /** Serves a set-up with this many segments of a second each. */
+    Exchange serve(Came setUp, int segments) throws InterruptedException {
+        StringBuilder b = new StringBuilder("#EXTM3U\n#EXT-X-TARGETDURATION:2\n");
+        for (int i = 0; i < segments; i++) {
+            b.append("#EXTINF:1,\ni/").append(i).append(".ts\n");
+        }
+        return serve(setUp, b.append("#EXT-X-ENDLIST\n").toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private Exchange serve(Came setUp, byte[] playlist) throws InterruptedException {
+        setUp.x().answer(200, Headers.NONE, playlist);
+        Exchange stream = next("GET /S/events").x();
+        stream.begin(200, Headers.of("Content-Type", "text/event-stream"));
+        beats.scheduleAtFixedRate(() -> stream.piece(": beat\n\n".getBytes(StandardCharsets.UTF_8)), 0, 100,
+            TimeUnit.MILLISECONDS);
+        return stream;
+    }
+
     static byte[] playlist(String rung) {
         StringBuilder b = new StringBuilder("#EXTM3U\n#EXT-X-TARGETDURATION:2\n#EXT-X-KEY:METHOD=AES-128,URI=\"k" + rung
             + "\"\n");
