--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -27,7 +27,7 @@
 /** The program: one subcommand for each way of running it. */
 @Command(name = "walnutfield", mixinStandardHelpOptions = true, version = Main.BUILD,
     description = "A session front: decides which media host takes each play and at what quality.",
-    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class, MeasureCommand.class, MeasureCommand.Bare.class, Tools.RecordCommand.class,
+    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class, MeasureCommand.class, MeasureCommand.Bare.class, InsertsCommand.class, Tools.RecordCommand.class,
         Tools.ReplayCommand.class, Tools.CheckCommand.class, Tools.TraceCommand.class, Tools.WhatIfCommand.class,
         Main.SchemaCommand.class})
 public final class Main {
--- a/app/src/main/java/walnutfield/app/Script.java
+++ b/app/src/main/java/walnutfield/app/Script.java
@@ -1,5 +1,6 @@
 package walnutfield.app;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -118,6 +119,10 @@
         day = new Day(seed, lengthMs, gateways, root.number("list-late-ms"), hosts, terms, crowd, rules, faults);
     }
 
+    Schedule schedule() {
+        return schedule;
+    }
+
     Day day() {
         return day;
     }
@@ -128,6 +133,11 @@
      * @param records where each life of a gateway leaves its record; null for none
      */
     Rig rig(Path records) {
+        return rig(records, schedule, new SimpleMeterRegistry());
+    }
+
+    /** The same with another schedule, and figures kept in one registry. */
+    Rig rig(Path records, Schedule inserts, MeterRegistry registry) {
         Terms.Front front = Settings.front(root);
         Terms.Hosts hosts = Settings.hosts(root);
         int[] lives = new int[day.gateways()];
@@ -138,8 +148,8 @@
             Recorder recorder = records == null ? null : new Recorder(records.resolve(name + (life > 1 ? "-" + life : "")
                 + ".record"), making, RECORD_BYTES, RECORD_MS);
             GatewayServer g = new GatewayServer(name, front, hosts, new Terms.Lists(service, null, 500), catalogue,
-                new SimpleMeterRegistry(), () -> "", out -> making.desk(out, recorder));
-            g.schedule(schedule);
+                registry, () -> "", out -> making.desk(out, recorder));
+            g.schedule(inserts);
             return new Gate(g, g.start(), recorder);
         };
     }
--- a/gateway/src/main/java/walnutfield/gateway/Figures.java
+++ b/gateway/src/main/java/walnutfield/gateway/Figures.java
@@ -7,12 +7,14 @@
 /** What a gateway counts and times, by names that docs/on-call.md explains. Any thread may add. */
 final class Figures {
     private final MeterRegistry registry;
+    private final String gateway;
     private final Timer deskWait;
     private final Timer deskRun;
     private final Timer leg;
     private final Timer start;
 
-    Figures(MeterRegistry registry) {
+    Figures(MeterRegistry registry, String gateway) {
+        this.gateway = gateway;
         this.registry = registry;
         deskWait = timer("desk.wait", "time that an event waits for the desk's thread");
         deskRun = timer("desk.run", "time that an event takes there");
@@ -49,6 +51,6 @@
     }
 
     void gauge(String name, java.util.function.Supplier<Number> value) {
-        io.micrometer.core.instrument.Gauge.builder("walnutfield." + name, value).register(registry);
+        io.micrometer.core.instrument.Gauge.builder("walnutfield." + name, value).tag("gateway", gateway).register(registry);
     }
 }
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -44,7 +44,7 @@
     public GatewayServer(String name, Terms.Front frontTerms, Terms.Hosts hostTerms, Terms.Lists listTerms,
                          Catalogue catalogue, MeterRegistry registry, Supplier<String> metrics,
                          Function<Gateway, Desk> maker) throws IOException {
-        Figures figures = new Figures(registry);
+        Figures figures = new Figures(registry, name);
         this.name = name;
         this.frontTerms = frontTerms;
         thread = new DeskThread(name + "-desk", frontTerms.queue(), figures);
--- a/standins/src/main/java/walnutfield/standin/audit/Auditor.java
+++ b/standins/src/main/java/walnutfield/standin/audit/Auditor.java
@@ -202,6 +202,11 @@
         return n;
     }
 
+    /** How long viewers who were served waited for their answer, in ms. */
+    public synchronized List<Double> starts() {
+        return asks.values().stream().filter(a -> a.answers > 0 && a.status == 200).map(a -> a.answeredAt - a.at).toList();
+    }
+
     public synchronized int legCount() {
         return legs.size();
     }
--- a/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
+++ b/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
@@ -36,9 +36,10 @@
      *
      * @param plays    requests by how they were answered
      * @param playlist one viewer's, as last fetched
+     * @param startsMs how long each viewer who was served waited
      */
     public record Outcome(List<Verdict> verdicts, Map<String, Long> plays, int legs, List<Long> viewers,
-                          String playlist) {
+                          String playlist, List<Double> startsMs) {
         public long broken() {
             return verdicts.stream().mapToLong(v -> v.broken().size()).sum();
         }
@@ -101,7 +102,7 @@
             List<Verdict> verdicts = new ArrayList<>(auditor.verdicts(end));
             verdicts.add(viewers.playlists());
             return new Outcome(verdicts, auditor.counts(), auditor.legCount(), viewers.figures(),
-                viewers.playlist());
+                viewers.playlist(), auditor.starts());
         } finally {
             timers.shutdownNow();
             if (viewers != null) {
@@ -128,6 +129,9 @@
             try {
                 task.run();
             } catch (IOException | RuntimeException e) {
+                if (timers.isShutdown()) {
+                    return; // the day is over, and what it would have done is of no use
+                }
                 LOG.atError().setCause(e).log("the day went wrong");
             }
         }, (long) Math.max(0, (time - Clock.now()) * 1000), TimeUnit.MICROSECONDS);
