Inserts and comebacks are decided through the desk, recorded and replayed like all else

What is decided beside the module must be reached and kept as the module's decisions are. The schedule, each viewing's plan, asks, losses and ends are calls of the desk, its answers are results; records hold them. The playlist's begun inserts are told one by one; a call within a call is refused.

--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -80,7 +81,7 @@
             new JvmMemoryMetrics().bindTo(registry);
             GatewayServer g = new GatewayServer(root.text("name"), Settings.front(root), Settings.hosts(root),
                 Settings.list(root), Settings.catalogue(root, ladder, Settings.bands(root, ladder.kb().size())),
-                registry, registry::scrape, out -> making.desk(out, recorder));
+                registry, registry::scrape, (out, beside) -> making.desk(out, beside, recorder));
             g.schedule(Settings.schedule(root));
             if (inserts != null) {
                 new Watched(inserts, Settings.bands(root, ladder.kb().size()), g::schedule).start();
@@ -170,6 +171,9 @@
                 .append(o.viewers().get(1)).append(", watched whole ").append(o.viewers().get(2)).append(", broken off ")
                 .append(o.viewers().get(3)).append(", malformed playlists ").append(o.viewers().get(4))
                 .append("; legs ").append(o.legs()).append('\n');
+            if (o.stoodMs() > 0) {
+                text.append(String.format(Locale.ROOT, "the machine stood still for %.0f ms at most; allowed for%n", o.stoodMs()));
+            }
             Map<String, Long> n = o.plays();
             long all = n.values().stream().mapToLong(x -> x).sum();
             text.append("rules broken: ").append(o.broken()).append("; plays ").append(all).append(" served ")
--- a/app/src/main/java/walnutfield/app/Script.java
+++ b/app/src/main/java/walnutfield/app/Script.java
@@ -148,7 +148,7 @@
             Recorder recorder = records == null ? null : new Recorder(records.resolve(name + (life > 1 ? "-" + life : "")
                 + ".record"), making, RECORD_BYTES, RECORD_MS);
             GatewayServer g = new GatewayServer(name, front, hosts, new Terms.Lists(service, null, 500), catalogue,
-                registry, () -> "", out -> making.desk(out, recorder));
+                registry, () -> "", (out, beside) -> making.desk(out, beside, recorder));
             g.schedule(inserts);
             return new Gate(g, g.start(), recorder);
         };
--- a/core/src/main/java/walnutfield/desk/Call.java
+++ b/core/src/main/java/walnutfield/desk/Call.java
@@ -1,18 +1,27 @@
 package walnutfield.desk;
 
 import java.util.List;
+import java.util.Set;
 import walnutfield.decide.Director;
+import walnutfield.play.Band;
+import walnutfield.play.CustomerId;
 import walnutfield.play.HostId;
 import walnutfield.play.HostLine;
 import walnutfield.play.Load;
 import walnutfield.play.Outcome;
 import walnutfield.play.PlayId;
+import walnutfield.play.ViewerId;
 import walnutfield.play.Wanted;
+import walnutfield.stitch.Schedule;
+import walnutfield.stitch.Stitcher;
 
 /** Something that happened to a gateway, as its decisions are told of it. The time is the desk's to add. */
 public sealed interface Call {
-    /** Tells the module; only the desk calls this. */
-    void tell(Director director, double now);
+    /** Tells the module; only the desk calls this. Calls that are not the module's do nothing. */
+    default void tell(Director director, double now) { }
+
+    /** Tells what decides beside the module; only the desk calls this. */
+    default void tell(Stitching stitching, double now) { }
 
     /** The list kept from before the start: it proves nothing of now. */
     record ListRemembered(List<HostLine> lines) implements Call {
@@ -149,4 +158,117 @@
             director.woke(now, mark);
         }
     }
+
+    /** The schedule of inserts from now on. */
+    record ScheduleTaken(Schedule schedule) implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.schedule(schedule);
+        }
+    }
+
+    /**
+     * A viewing's programme is served.
+     *
+     * @param viewing  its first play
+     * @param startBy  its viewer wants to see something by then
+     * @param lengthMs of the programme
+     */
+    record ViewingBegan(PlayId viewing, ViewerId viewer, CustomerId customer, Band band, double startBy, double lengthMs)
+        implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.began(now, this);
+        }
+    }
+
+    /** It is time to ask for an insert. */
+    record InsertDue(PlayId viewing, int slot, Band band) implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.due(now, viewing, slot, band);
+        }
+    }
+
+    /** No host took it, or what it serves cannot be stitched in. */
+    record InsertNotTaken(PlayId viewing, int slot, Stitcher.Why why) implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.notTaken(now, viewing, slot, why);
+        }
+    }
+
+    /** A host serves it. */
+    record InsertPlaced(PlayId viewing, int slot) implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.placed(viewing, slot);
+        }
+    }
+
+    /** Its first segment was listed. */
+    record InsertBegun(PlayId viewing, int slot, ViewerId viewer) implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.begun(now, viewing, slot, viewer);
+        }
+    }
+
+    /** Its host says that its viewer has had all of it, or fetches no more. */
+    record InsertEnded(PlayId viewing, int slot, boolean whole) implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.ended(viewing, slot, whole);
+        }
+    }
+
+    /** Its host was lost; so much of it is not listed yet. */
+    record InsertLost(PlayId viewing, int slot, double leftMs) implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.lost(now, viewing, slot, leftMs);
+        }
+    }
+
+    /** Its viewer must be answered now. */
+    record InsertLate(PlayId viewing, int slot) implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.late(viewing, slot);
+        }
+    }
+
+    /** A viewing is over; of these inserts all is listed and the viewer still fetches. */
+    record ViewingOver(PlayId viewing, Set<Integer> fetched) implements Call {
+        public ViewingOver {
+            fetched = Set.copyOf(fetched);
+        }
+
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.over(viewing, fetched);
+        }
+    }
+
+    /** A minute has passed: what is too old to count may be forgotten. */
+    record MinutePassed() implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.tidy(now);
+        }
+    }
+
+    /**
+     * A play's host was lost while it played.
+     *
+     * @param before     times that it came back before
+     * @param sinceMs    since it last began
+     * @param unlistedMs what of it is not listed yet
+     */
+    record PlayBroke(PlayId play, Band band, int before, double sinceMs, double unlistedMs) implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.broke(this);
+        }
+    }
 }
--- a/core/src/main/java/walnutfield/desk/Desk.java
+++ b/core/src/main/java/walnutfield/desk/Desk.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import walnutfield.decide.Director;
+import walnutfield.play.Band;
 import walnutfield.play.ColdTerms;
 import walnutfield.play.Gateway;
 import walnutfield.play.HostId;
@@ -15,6 +16,8 @@
 import walnutfield.play.Share;
 import walnutfield.play.ShedTerms;
 import walnutfield.play.Witness;
+import walnutfield.stitch.Insert;
+import walnutfield.stitch.InsertId;
 
 /**
  * One gateway's decisions. It takes calls with their time, passes them to the module, and hands on what that
@@ -24,6 +27,8 @@
 public final class Desk {
     private final Director director;
     private final Gateway out;
+    private final Carrier carrier;
+    private final Stitching stitching;
     private final Listener listener;
     private double now;
 
@@ -33,7 +38,18 @@
      */
     public Desk(Post post, Ladder ladder, LinkTerms links, LegTerms legs, ColdTerms cold, ShedTerms sheds,
                 ReportTerms reports, MoveTerms moves, List<Share> shares, Gateway out, Listener listener) {
+        this(post, ladder, links, legs, cold, sheds, reports, moves, shares, out, Carrier.NONE, listener);
+    }
+
+    /**
+     * @param carrier carries out what is decided beside the module; the same holds for it as for {@code out}
+     */
+    public Desk(Post post, Ladder ladder, LinkTerms links, LegTerms legs, ColdTerms cold, ShedTerms sheds,
+                ReportTerms reports, MoveTerms moves, List<Share> shares, Gateway out, Carrier carrier,
+                Listener listener) {
         this.out = out;
+        this.carrier = carrier;
+        stitching = new Stitching(listener == null ? carrier : new Carried());
         this.listener = listener;
         director = new Director(post, ladder, links, legs, cold, sheds, reports, moves, shares,
             listener == null ? out : new Told());
@@ -55,6 +71,7 @@
             listener.called(time, call);
         }
         call.tell(director, time);
+        call.tell(stitching, time);
     }
 
     /** Lets the listener see each result before it is carried out. */
@@ -109,4 +126,37 @@
             pass(new Result.Noted(line));
         }
     }
+
+    /** The same for what is decided beside the module. */
+    private final class Carried implements Carrier {
+        private void pass(Result result) {
+            listener.resulted(now, result);
+            result.carryOut(carrier);
+        }
+
+        @Override
+        public void planned(PlayId viewing, List<Insert> inserts) {
+            pass(new Result.Planned(viewing, inserts));
+        }
+
+        @Override
+        public void askFor(PlayId viewing, int slot, Band band) {
+            pass(new Result.AskFor(viewing, slot, band));
+        }
+
+        @Override
+        public void askAgain(PlayId viewing, int slot, double at) {
+            pass(new Result.AskAgain(viewing, slot, at));
+        }
+
+        @Override
+        public void reported(PlayId viewing, int slot, InsertId insert, String what) {
+            pass(new Result.Reported(viewing, slot, insert, what));
+        }
+
+        @Override
+        public void comesBack(PlayId play, boolean back) {
+            pass(new Result.ComesBack(play, back));
+        }
+    }
 }
--- a/core/src/main/java/walnutfield/stitch/Slot.java
+++ b/core/src/main/java/walnutfield/stitch/Slot.java
@@ -6,16 +6,15 @@
     public enum State { PLANNED, ASKED, PLACED, STARTED, COMPLETED, DROPPED }
 
     final Insert insert;
-    final int number;
+    int number;
     State state = State.PLANNED;
     double deadline = Double.POSITIVE_INFINITY; // until then it may be waited for
     int asks;
     int resumes;
     boolean begun; // reported as started: it may be asked for again where its host is lost
 
-    Slot(Insert insert, int number) {
+    Slot(Insert insert) {
         this.insert = insert;
-        this.number = number;
     }
 
     public Insert insert() {
--- a/core/src/main/java/walnutfield/stitch/Stitcher.java
+++ b/core/src/main/java/walnutfield/stitch/Stitcher.java
@@ -76,7 +76,7 @@
             if (!i.isFor(band, customer, now)) {
                 continue;
             }
-            Slot s = new Slot(i, out.size());
+            Slot s = new Slot(i);
             s.deadline = i.place() == Insert.Place.BEFORE ? now + START_SHARE * Math.max(0, startBy - now)
                 : Double.POSITIVE_INFINITY;
             if (i.topRung() < band.floor()) { // guards the band's floor; it harms nothing but the insert
@@ -90,6 +90,9 @@
             }
         }
         out.sort((a, b) -> Double.compare(a.insert.atMs(), b.insert.atMs()));
+        for (int n = 0; n < out.size(); n++) {
+            out.get(n).number = n;
+        }
         return out;
     }
 
@@ -190,6 +193,24 @@
         return false;
     }
 
+    /** Its viewer must be answered now: one that is not placed yet is dropped. */
+    public void late(Slot s) {
+        if (s.state == Slot.State.PLANNED || s.state == Slot.State.ASKED) {
+            drop(s, Why.LATE);
+        }
+    }
+
+    /**
+     * Its viewing is over: it is dropped unless its viewer still fetches what was listed whole.
+     *
+     * @param fetched its host has not said that the viewer is through
+     */
+    public void over(Slot s, boolean fetched) {
+        if (!(fetched && s.state == Slot.State.STARTED)) {
+            drop(s, Why.VIEWER_LEFT);
+        }
+    }
+
     /** It is not to be shown, or not whole. */
     public void drop(Slot s, Why why) {
         if (!s.isOver()) {
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -6,10 +6,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import walnutfield.desk.Carrier;
 import walnutfield.desk.Desk;
 import walnutfield.net.Client;
 import walnutfield.net.Clock;
@@ -23,6 +23,11 @@
     private static final int ANSWER_LOOK_MS = 20;
     private static final int SWEEP_MS = 25;
 
+    /** Makes a gateway's desk, given where its results go. */
+    public interface DeskMaker {
+        Desk make(Gateway out, Carrier beside);
+    }
+
     private final String name;
     private final DeskThread thread;
     private final HostClient hosts;
@@ -39,11 +44,11 @@
      * @param name     of the gateway, as hosts and the list service see it
      * @param registry counts and times
      * @param metrics  what /metrics answers
-     * @param maker    makes its desk, given where its results go
+     * @param maker    makes its desk
      */
     public GatewayServer(String name, Terms.Front frontTerms, Terms.Hosts hostTerms, Terms.Lists listTerms,
                          Catalogue catalogue, MeterRegistry registry, Supplier<String> metrics,
-                         Function<Gateway, Desk> maker) throws IOException {
+                         DeskMaker maker) throws IOException {
         Figures figures = new Figures(registry, name);
         this.name = name;
         this.frontTerms = frontTerms;
--- a/gateway/src/main/java/walnutfield/gateway/Inserts.java
+++ b/gateway/src/main/java/walnutfield/gateway/Inserts.java
@@ -1,30 +1,34 @@
 package walnutfield.gateway;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import walnutfield.desk.Call;
+import walnutfield.desk.Carrier;
 import walnutfield.play.Band;
+import walnutfield.play.PlayId;
 import walnutfield.stitch.Insert;
+import walnutfield.stitch.InsertId;
 import walnutfield.stitch.Schedule;
-import walnutfield.stitch.Slot;
-import walnutfield.stitch.Stitcher;
 import walnutfield.stitch.Stitcher.Why;
 
 /**
- * Carries out what is decided on inserts, on the desk's thread: each insert of a viewing is a play of its own at the
- * desk, and its pieces go into the viewing's playlist. Decides nothing.
+ * Carries out what the desk decides on inserts, on its thread: each insert of a viewing is a play of its own, and its
+ * pieces go into the viewing's playlist. Decides nothing.
  */
-final class Inserts implements Stitcher.Reports {
+final class Inserts implements Carrier {
     private static final Logger LOG = LoggerFactory.getLogger("insert");
     private static final double LOOK_MS = 100;
-    private static final double TIDY_MS = 60_000;
+    private static final double MINUTE_MS = 60_000;
 
-    /** Makes an insert's play, and lets go of what the viewing was held for. */
+    /** What inserts ask of the plays. */
     interface Host {
-        /** A wish for an insert; the play's number in the desk's words is the gateway's to choose. */
+        /** A wish for an insert; the play's number is the gateway's to choose. */
         void want(Viewing insert);
 
         /** The viewing's first insert is settled: its viewer may be answered. */
@@ -39,245 +43,252 @@
 
     /** What is known of the inserts of one viewing. */
     static final class Stitched {
-        final List<Slot> slots;
-        final Map<Integer, Viewing> parts = new HashMap<>(); // one for each insert under way
+        private final List<Insert> inserts;
+        private final Map<Integer, Viewing> parts = new HashMap<>(); // inserts under way
+        private final Set<Integer> open = new HashSet<>();           // that have no last report yet
+        private final Set<Integer> before = new HashSet<>();         // of these, before the programme and not placed
         boolean waits;
 
-        Stitched(List<Slot> slots) {
-            this.slots = slots;
+        private Stitched(List<Insert> inserts) {
+            this.inserts = inserts;
+            for (int n = 0; n < inserts.size(); n++) {
+                open.add(n);
+                if (inserts.get(n).place() == Insert.Place.BEFORE) {
+                    before.add(n);
+                }
+            }
         }
     }
 
     private final DeskThread thread;
     private final Host host;
     private final Figures figures;
-    private final Stitcher stitcher = new Stitcher(this);
-    private final Map<Slot, Viewing> of = new HashMap<>(); // whose slot it is; emptied as slots end and viewings do
+    private final Consumer<Call> desk;
+    private final Map<PlayId, Viewing> viewings = new HashMap<>(); // by first play; emptied as their last insert is reported
+    private Viewing planning;
+    private boolean back;
 
-    Inserts(DeskThread thread, Host host, Figures figures) {
+    Inserts(DeskThread thread, Host host, Figures figures, Consumer<Call> desk) {
         this.thread = thread;
         this.host = host;
         this.figures = figures;
+        this.desk = desk;
     }
 
     void begin() {
-        thread.at(thread.now() + TIDY_MS, this::tidy);
+        thread.at(thread.now() + MINUTE_MS, this::minute);
     }
 
-    private void tidy() {
-        stitcher.tidy(thread.now());
-        thread.at(thread.now() + TIDY_MS, this::tidy);
+    private void minute() {
+        desk.accept(new Call.MinutePassed());
+        begin();
     }
 
     void schedule(Schedule next) {
-        stitcher.schedule(next);
+        desk.accept(new Call.ScheduleTaken(next));
         LOG.atInfo().addKeyValue("inserts", next.inserts().size()).log("schedule taken");
     }
 
-    /** Plans a viewing whose programme is served; true where its viewer waits for an insert before it. */
-    boolean plan(Viewing v, double lengthMs) {
-        List<Slot> slots = stitcher.plan(thread.now(), v.asked.viewer(), v.asked.customer(), v.asked.band(),
-            v.takenAt + v.asked.band().expectedMs(), lengthMs);
-        v.stitched = new Stitched(slots);
-        for (Slot s : slots) {
-            Insert i = s.insert();
-            v.playlist.place(s.number(), i.id().value(), i.atMs(), i.insteadMs(), i.targetS());
-            of.put(s, v);
+    /** Plans a viewing whose programme is served. */
+    void plan(Viewing v, double lengthMs) {
+        v.stitched = new Stitched(List.of());
+        planning = v;
+        desk.accept(new Call.ViewingBegan(v.first, v.asked.viewer(), v.asked.customer(), v.asked.band(),
+            v.takenAt + v.asked.band().expectedMs(), lengthMs));
+        planning = null;
+    }
+
+    @Override
+    public void planned(PlayId viewing, List<Insert> inserts) {
+        Viewing v = planning;
+        viewings.put(viewing, v);
+        v.stitched = new Stitched(inserts);
+        for (int n = 0; n < inserts.size(); n++) {
+            Insert i = inserts.get(n);
+            v.playlist.place(n, i.id().value(), i.atMs(), i.insteadMs(), i.targetS());
         }
-        return !slots.isEmpty() && slots.get(0).insert().place() == Insert.Place.BEFORE;
     }
 
-    /** The programme has its source: inserts are asked for as their places come near. */
+    /** The programme has its source: inserts are due as their places come near. */
     void follow(Viewing v) {
-        for (Slot s : v.stitched.slots) {
-            if (s.insert().place() == Insert.Place.BEFORE) {
-                v.stitched.waits = true;
-                ask(v, s);
+        v.stitched.waits = !v.stitched.before.isEmpty();
+        for (int n = 0; n < v.stitched.inserts.size(); n++) {
+            if (v.stitched.before.contains(n)) {
+                due(v, n);
+                int late = n;
+                thread.at(v.takenAt + v.asked.band().expectedMs(), () -> late(v, late));
             } else {
-                look(v, s);
+                look(v, n);
             }
         }
     }
 
-    private void look(Viewing v, Slot s) {
-        if (s.isOver() || v.phase == Viewing.Phase.OVER) {
+    /** A place is due one expected time before listing comes to it. */
+    private void look(Viewing v, int n) {
+        if (!v.stitched.open.contains(n) || v.phase == Viewing.Phase.OVER) {
             return;
         }
-        double due = v.playlist.reaches(s.number()) - stitcher.leadMs(v.asked.band());
-        if (thread.now() >= due) {
-            ask(v, s);
+        double at = v.playlist.reaches(n) - v.asked.band().expectedMs();
+        if (thread.now() >= at) {
+            due(v, n);
         } else {
-            thread.at(Math.max(due, thread.now() + LOOK_MS), () -> look(v, s));
+            thread.at(Math.max(at, thread.now() + LOOK_MS), () -> look(v, n));
         }
     }
 
-    private void ask(Viewing v, Slot s) {
-        if (v.phase == Viewing.Phase.OVER) {
-            return;
+    private void due(Viewing v, int n) {
+        if (v.phase != Viewing.Phase.OVER) {
+            desk.accept(new Call.InsertDue(v.first, n, v.asked.band()));
         }
-        Band band = stitcher.ask(thread.now(), s, v.asked.band());
-        if (band == null) {
+    }
+
+    @Override
+    public void askFor(PlayId viewing, int n, Band band) {
+        Viewing v = viewings.get(viewing);
+        if (v != null) {
+            thread.post(() -> want(v, n, band)); // after the desk's present call
+        }
+    }
+
+    private void want(Viewing v, int n, Band band) {
+        if (v.phase == Viewing.Phase.OVER || !v.stitched.open.contains(n)) {
             return;
         }
-        Insert i = s.insert();
+        Insert i = v.stitched.inserts.get(n);
         Viewing part = new Viewing(new Viewing.Asked(v.asked.viewer(), i.title(), band, v.asked.customer(),
             Math.min(v.asked.bestRung(), i.topRung())), v.id, thread.now(), 0);
         part.main = v;
-        part.slot = s;
-        v.stitched.parts.put(s.number(), part);
+        part.insert = i;
+        part.slot = n;
+        v.stitched.parts.put(n, part);
         host.want(part);
-        if (v.stitched.waits && s.insert().place() == Insert.Place.BEFORE) {
-            double most = v.takenAt + v.asked.band().expectedMs();
-            thread.at(Math.max(thread.now(), most), () -> late(v, s));
+    }
+
+    @Override
+    public void askAgain(PlayId viewing, int n, double at) {
+        Viewing v = viewings.get(viewing);
+        if (v != null) {
+            thread.at(at, () -> due(v, n));
         }
     }
 
     /** A viewer who waits is answered by the expected time, come what may. */
-    private void late(Viewing v, Slot s) {
-        if (s.state() == Slot.State.ASKED || s.state() == Slot.State.PLANNED) {
-            letGo(v, s);
-            stitcher.drop(s, Why.LATE);
+    private void late(Viewing v, int n) {
+        if (v.stitched.before.contains(n)) {
+            Viewing part = v.stitched.parts.get(n);
+            desk.accept(new Call.InsertLate(v.first, n));
+            if (part != null && !v.stitched.open.contains(n)) {
+                host.let(part);
+            }
         }
     }
 
     /** Its leg was served; false where its playlist cannot be stitched in. */
     boolean placed(Viewing part, HostClient.Reply reply) {
         Viewing v = part.main;
-        if (part.slot.isOver() || v.phase == Viewing.Phase.OVER) {
+        if (!v.stitched.open.contains(part.slot) || v.phase == Viewing.Phase.OVER) {
             return false;
         }
-        if (!v.playlist.fill(part.slot.number(), reply.playlist(), HostClient.base(part.address), part.servedRung,
-            part.session)) {
+        if (!fill(part, reply)) {
             notTaken(part, Why.MALFORMED);
             return false;
         }
-        stitcher.placed(part.slot);
-        host.pause(v, part.slot.insert().durationMs());
-        settle(v);
+        desk.accept(new Call.InsertPlaced(v.first, part.slot));
+        host.pause(v, part.insert.durationMs());
+        settle(v, part.slot);
         return true;
     }
 
-    /** Its host serves it at another rung from the next segment on; false where that cannot be stitched in. */
-    boolean rung(Viewing part, HostClient.Reply reply) {
-        return part.main.playlist.fill(part.slot.number(), reply.playlist(), HostClient.base(part.address), part.servedRung,
-            part.session);
+    /** Its host serves it, or serves it at another rung from the next segment on; false where that cannot be stitched in. */
+    boolean fill(Viewing part, HostClient.Reply reply) {
+        return part.main.playlist.fill(part.slot, reply.playlist(), HostClient.base(part.address), part.servedRung, part.session);
     }
 
     /** No host took it. */
     void notTaken(Viewing part, Why why) {
-        Viewing v = part.main;
-        v.stitched.parts.remove(part.slot.number(), part);
-        double again = stitcher.notTaken(thread.now(), part.slot, why);
-        if (!Double.isNaN(again)) {
-            thread.at(again, () -> ask(v, part.slot));
-        }
+        part.main.stitched.parts.remove(part.slot, part);
+        desk.accept(new Call.InsertNotTaken(part.main.first, part.slot, why));
     }
 
     /** Its host was lost while it played. */
     void broke(Viewing part) {
         Viewing v = part.main;
-        int n = part.slot.number();
-        v.stitched.parts.remove(n, part);
-        double left = v.playlist.unlistedOf(n);
-        if (left <= 0) { // all of it was listed: its viewer has it or not
-            stitcher.drop(part.slot, Why.HOST_LOST);
-            return;
-        }
-        v.playlist.unfill(n);
-        if (stitcher.resumes(thread.now(), part.slot, left)) {
-            ask(v, part.slot);
+        begun(v);
+        v.stitched.parts.remove(part.slot, part);
+        double left = v.playlist.unlistedOf(part.slot);
+        if (left > 0) {
+            v.playlist.unfill(part.slot);
         }
+        desk.accept(new Call.InsertLost(v.first, part.slot, left));
     }
 
     /** Its host says that the viewer has had all of it, or fetches no more. */
     void ended(Viewing part, boolean whole) {
-        part.main.stitched.parts.remove(part.slot.number(), part);
         begun(part.main);
-        if (whole) {
-            stitcher.completed(part.slot);
-        } else {
-            stitcher.drop(part.slot, Why.VIEWER_LEFT);
-        }
-        forget(part.main);
+        part.main.stitched.parts.remove(part.slot, part);
+        desk.accept(new Call.InsertEnded(part.main.first, part.slot, whole));
     }
 
     /** Tells of inserts whose first segment was listed since. */
     void begun(Viewing v) {
-        int n = v.playlist.newlyBegun();
-        if (n >= 0) {
-            v.stitched.slots.stream().filter(s -> s.number() == n)
-                .forEach(s -> stitcher.started(thread.now(), s, v.asked.viewer()));
+        for (int n = v.playlist.newlyBegun(); n >= 0; n = v.playlist.newlyBegun()) {
+            desk.accept(new Call.InsertBegun(v.first, n, v.asked.viewer()));
         }
     }
 
-    /** The viewing is over: what has not been shown is dropped, what the viewer still fetches ends with its host's word. */
+    /** The viewing is over: inserts end with it, but for those that are listed whole and still fetched. */
     void over(Viewing v) {
-        if (v.stitched == null) {
+        if (v.stitched == null || v.stitched.inserts.isEmpty()) {
             return;
         }
         begun(v);
-        for (Slot s : v.stitched.slots) {
-            boolean fetched = s.state() == Slot.State.STARTED && v.stitched.parts.containsKey(s.number());
-            if (!s.isOver() && !(fetched && v.playlist.isWhole())) {
-                letGo(v, s);
-                stitcher.drop(s, Why.VIEWER_LEFT);
+        Map<Integer, Viewing> parts = new HashMap<>(v.stitched.parts);
+        desk.accept(new Call.ViewingOver(v.first, v.playlist.isWhole() ? parts.keySet() : Set.of()));
+        parts.forEach((n, part) -> {
+            if (!v.stitched.open.contains(n)) {
+                host.let(part);
             }
-        }
-        forget(v);
+        });
     }
 
-    private void letGo(Viewing v, Slot s) {
-        Viewing part = v.stitched.parts.remove(s.number());
-        if (part != null) {
-            host.let(part);
-        }
+    /** Whether a play whose host was lost comes back. */
+    boolean comesBack(Viewing v) {
+        back = false;
+        desk.accept(new Call.PlayBroke(v.play, v.asked.band(), v.comebacks, thread.now() - v.startedAt,
+            v.playlist.unlistedMs()));
+        return back;
     }
 
-    private void forget(Viewing v) {
-        if (v.phase == Viewing.Phase.OVER) {
-            v.stitched.slots.stream().filter(Slot::isOver).forEach(of::remove);
-        }
+    @Override
+    public void comesBack(PlayId play, boolean decided) {
+        back = decided;
     }
 
     /** Once none before the programme is open, its viewer is answered. */
-    private void settle(Viewing v) {
-        boolean open = v.stitched.slots.stream().anyMatch(s -> s.insert().place() == Insert.Place.BEFORE
-            && (s.state() == Slot.State.PLANNED || s.state() == Slot.State.ASKED));
-        if (v.stitched.waits && !open) {
+    private void settle(Viewing v, int n) {
+        v.stitched.before.remove(n);
+        if (v.stitched.waits && v.stitched.before.isEmpty()) {
             v.stitched.waits = false;
             host.settled(v);
         }
     }
 
     @Override
-    public void started(Slot slot) {
-        report(slot, "started");
-    }
-
-    @Override
-    public void completed(Slot slot) {
-        report(slot, "completed");
-    }
-
-    @Override
-    public void dropped(Slot slot, Why why) {
-        report(slot, "dropped-" + why.name().toLowerCase(Locale.ROOT).replace('_', '-'));
-        Viewing v = of.get(slot);
-        if (v != null) {
-            v.playlist.close(slot.number());
-            settle(v);
+    public void reported(PlayId viewing, int n, InsertId insert, String what) {
+        figures.insert(what, insert.value());
+        Viewing v = viewings.get(viewing);
+        LOG.atInfo().addKeyValue("insert", insert.value()).addKeyValue("what", what).addKeyValue("viewing", viewing.value())
+            .log("insert");
+        if (v == null || what.equals("started")) {
+            return;
+        }
+        v.stitched.open.remove(n);
+        if (!what.equals("completed")) {
+            v.playlist.close(n);
+        }
+        settle(v, n);
+        if (v.stitched.open.isEmpty()) {
+            viewings.remove(viewing);
         }
-    }
-
-    private void report(Slot slot, String what) {
-        Viewing v = of.get(slot);
-        figures.insert(what, slot.insert().id().value());
-        LOG.atInfo().addKeyValue("insert", slot.insert().id().value()).addKeyValue("what", what)
-            .addKeyValue("viewing", v == null ? "-" : v.id).log("insert");
-    }
-
-    /** Slots that are still known. */
-    int known() {
-        return of.size();
     }
 }
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import walnutfield.desk.Call;
@@ -23,7 +22,6 @@
 import walnutfield.play.Outcome;
 import walnutfield.play.PlayId;
 import walnutfield.play.Wanted;
-import walnutfield.resume.Resume;
 import walnutfield.sse.Event;
 import walnutfield.stitch.Schedule;
 import walnutfield.stitch.Stitcher;
@@ -51,6 +49,7 @@
     private final Map<String, SessionPlaylist> playlists = new ConcurrentHashMap<>(); // emptied by the idle look
     private ListClient list;
     private long next = 1;
+    private boolean telling;
     private int unanswered;
     private volatile int openPlays;
 
@@ -58,7 +57,7 @@
      * @param name of this gateway's present life: no other gateway, nor this one started again, has the same
      */
     Plays(String name, DeskThread thread, HostClient hosts, Terms.Front front, Terms.Hosts hostTerms,
-          Catalogue catalogue, Figures figures, Function<Gateway, Desk> maker) {
+          Catalogue catalogue, Figures figures, GatewayServer.DeskMaker maker) {
         this.figures = figures;
         this.name = name;
         this.thread = thread;
@@ -66,8 +65,8 @@
         this.front = front;
         this.hostTerms = hostTerms;
         this.catalogue = catalogue;
-        inserts = new Inserts(thread, new Stitching(), figures);
-        desk = maker.apply(this);
+        inserts = new Inserts(thread, new Stitching(), figures, this::tell);
+        desk = maker.make(this, inserts);
     }
 
     void begin(ListClient with) {
@@ -78,7 +77,15 @@
     }
 
     void tell(Call call) {
-        desk.take(thread.now(), call);
+        if (telling) { // a result must not call back into the desk
+            throw new IllegalStateException("a call within a call: " + call);
+        }
+        telling = true;
+        try {
+            desk.take(thread.now(), call);
+        } finally {
+            telling = false;
+        }
         openPlays = byPlay.size();
     }
 
@@ -150,6 +157,7 @@
 
     private void newPlay(Viewing v, double leftMs) {
         v.play = new PlayId(next++);
+        v.first = v.first == null ? v.play : v.first;
         v.session = name + "-" + v.play.value();
         v.playTakenAt = thread.now() + leftMs - v.asked.band().hardStopMs();
         v.legs = 0;
@@ -162,10 +170,10 @@
         Viewing.Asked a = v.asked;
         boolean insert = v.main != null;
         Catalogue.Title t = insert ? null : catalogue.titles().get(a.title());
-        double length = insert ? v.slot.insert().durationMs() : v.phase == Phase.PLAYING ? v.playlist.unlistedMs()
+        double length = insert ? v.insert.durationMs() : v.phase == Phase.PLAYING ? v.playlist.unlistedMs()
             : t.lengthMs();
-        int cell = insert ? v.slot.insert().firstCell() : t.firstCell();
-        int holders = insert ? v.slot.insert().holders() : t.holders();
+        int cell = insert ? v.insert.firstCell() : t.firstCell();
+        int holders = insert ? v.insert.holders() : t.holders();
         return new Wanted(v.play, a.viewer(), a.title(), a.customer(), a.band(), cell, holders,
             a.bestRung(), moved, length, leftMs);
     }
@@ -230,7 +238,7 @@
     /** The viewing's last line; its playlist stays for whoever is still reading it. */
     private void over(Viewing v, String end) {
         v.phase = Phase.OVER;
-        inserts.over(v);
+        thread.post(() -> inserts.over(v)); // after the desk's present call
         open.remove(v.asked.key(), v);
         figures.over(end, v.asked.band().name());
         ACCESS.atInfo().addKeyValue("play", v.session).addKeyValue("end", end).addKeyValue("band", v.asked.band().name())
@@ -372,7 +380,7 @@
             }
             int before = v.servedRung;
             v.servedRung = rung;
-            if (reply.how() != Outcome.SERVED || !(v.main != null ? inserts.rung(v, reply) : v.playlist.from(thread.now(),
+            if (reply.how() != Outcome.SERVED || !(v.main != null ? inserts.fill(v, reply) : v.playlist.from(thread.now(),
                 reply.playlist(), HostClient.base(v.address), rung, v.session))) {
                 v.servedRung = before;
                 v.rung = v.servedRung;
@@ -409,7 +417,7 @@
         }
         if (v.main != null) {
             v.phase = Phase.OVER;
-            inserts.notTaken(v, Stitcher.Why.NO_HOST);
+            thread.post(() -> inserts.notTaken(v, Stitcher.Why.NO_HOST)); // after the desk's present call
             return;
         }
         answerAll(v, x -> {
@@ -605,8 +613,7 @@
             return;
         }
         v.playlist.hold();
-        boolean back = moved || Resume.comesBack(v.asked.band(), v.comebacks, thread.now() - v.startedAt,
-            v.playlist.unlistedMs());
+        boolean back = moved || inserts.comesBack(v);
         tell(new Call.Ended(old, v.legs - 1, v.host, how, true, thread.now() - v.sentAt, Load.NONE));
         if (!back) {
             v.playlist.end(502, 0);
--- a/gateway/src/main/java/walnutfield/gateway/SessionPlaylist.java
+++ b/gateway/src/main/java/walnutfield/gateway/SessionPlaylist.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.ZoneOffset;
 import java.time.format.DateTimeFormatter;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -62,8 +63,7 @@
     private double programmeS;
     private double listedS;
     private int targetS;     // must not change once it was told (RFC 8216, section 4.3.3.1)
-    private int lastBegun = -1;
-    private int begunTold = -1;
+    private final ArrayDeque<Integer> begunUntold = new ArrayDeque<>(); // emptied as they are told
     private List<Tag> pending = new ArrayList<>(); // marks for the next segment
     private double polledAt;
     private int endStatus;
@@ -146,11 +146,10 @@
             : (p.source.playlist().durationS() - p.listedS) * 1000;
     }
 
-    /** The number of an insert whose first segment was listed since this was last asked; -1 for none. */
+    /** The number of an insert whose first segment was listed and that was not told yet; -1 for none. */
     synchronized int newlyBegun() {
-        int n = lastBegun == begunTold ? -1 : lastBegun;
-        begunTold = lastBegun;
-        return n;
+        Integer n = begunUntold.poll();
+        return n == null ? -1 : n;
     }
 
     /** Nothing more of the programme is listed until there is a new source. */
@@ -248,7 +247,7 @@
         if (!p.begun) {
             p.begun = true;
             p.startDate = date(listedS);
-            lastBegun = p.number;
+            begunUntold.add(p.number);
             pending.add(range(p, "PLANNED-DURATION", p.source.playlist().durationS()));
         }
         return true;
--- a/gateway/src/main/java/walnutfield/gateway/Viewing.java
+++ b/gateway/src/main/java/walnutfield/gateway/Viewing.java
@@ -11,7 +11,7 @@
 import walnutfield.play.PlayId;
 import walnutfield.play.TitleId;
 import walnutfield.play.ViewerId;
-import walnutfield.stitch.Slot;
+import walnutfield.stitch.Insert;
 
 /** State of one viewing: a viewer's request for a title, and the plays that serve it one after another. */
 final class Viewing {
@@ -38,6 +38,7 @@
     final List<Exchange> waiting = new ArrayList<>(); // emptied by the answer, or as viewers go
     final SessionPlaylist playlist;
     Phase phase = Phase.ASKED;
+    PlayId first;                    // names the viewing to the desk
     PlayId play;                     // the present one
     double playTakenAt;
     String session;                  // the present play's name at its host
@@ -56,7 +57,8 @@
     Inserts.Stitched stitched;       // of a programme; null before it is served
     boolean answered;                // its viewers were told the playlist
     Viewing main;                    // of an insert: the viewing that it is stitched into; null for a programme
-    Slot slot;                       // of an insert
+    Insert insert;                   // of an insert
+    int slot;                        // of an insert: its number in its viewing
 
     Viewing(Asked asked, String id, double takenAt, double aheadS) {
         this.asked = asked;
--- a/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
@@ -214,4 +214,76 @@
             assertTrue((System.nanoTime() - began) / 1e6 < 3000, "long before the hard stop");
         }
     }
+
+    /** The module moves a play while an insert is listed: the insert goes on, and then the programme from its new host. */
+    @Test
+    void aMoveDuringAnInsertLeavesItWhole() throws Exception {
+        try (Outside o = with(3, insert(Insert.Place.BEFORE, 0, 0, false, 2))) {
+            CompletableFuture<HttpResponse<String>> asked = o.ask("free", 1);
+            Came main = o.next("POST /S");
+            o.serve(main);
+            o.serve(o.next("POST /S"), 4);
+            String uri = media(asked);
+            list(o, uri, 2);
+            o.moveNext.set(new walnutfield.play.PlayId(Long.parseLong(main.session().replaceAll(".*-", ""))));
+            Came moved = o.next("POST /S");
+            assertEquals("7", title(moved));
+            o.serve(moved);
+            MediaPlaylist p = list(o, uri, 5);
+            assertTrue(kinds(p).startsWith("iiii|p"), kinds(p));
+            assertTrue(p.segments().get(4).uri().endsWith(moved.session()), p.segments().get(4).uri());
+            assertTrue(o.calls.stream().anyMatch(c -> c.contains("CALLED_OFF")));
+        }
+    }
+
+    /** The module moves the insert itself: its rest comes from the new host, with no mark between. */
+    @Test
+    void anInsertThatIsMovedGoesOnFromItsNewHost() throws Exception {
+        try (Outside o = with(3, insert(Insert.Place.BEFORE, 0, 0, false, 2))) {
+            CompletableFuture<HttpResponse<String>> asked = o.ask("free", 1);
+            o.serve(o.next("POST /S"));
+            Came insert = o.next("POST /S");
+            o.serve(insert, 6);
+            String uri = media(asked);
+            list(o, uri, 3);
+            o.moveNext.set(new walnutfield.play.PlayId(Long.parseLong(insert.session().replaceAll(".*-", ""))));
+            Came again = o.next("POST /S");
+            assertEquals("99", title(again));
+            o.serve(again, 6);
+            MediaPlaylist p = list(o, uri, 7);
+            assertTrue(kinds(p).startsWith("iiiiii|p"), kinds(p));
+        }
+    }
+
+    /** A retry that crosses the insert's end joins the viewing: the same playlist, no second insert. */
+    @Test
+    void aRetryThatCrossesTheInsertsEndJoinsTheViewing() throws Exception {
+        try (Outside o = with(2, insert(Insert.Place.BEFORE, 0, 0, false, 2))) {
+            CompletableFuture<HttpResponse<String>> asked = o.ask("free", 1);
+            o.serve(o.next("POST /S"));
+            Exchange insert = o.serve(o.next("POST /S"), 2);
+            String uri = media(asked);
+            list(o, uri, 3);
+            CompletableFuture<HttpResponse<String>> again = o.ask("free", 1);
+            insert.piece(new Event("end", "whole").bytes());
+            assertEquals(uri, media(again));
+            o.until("InsertEnded");
+            assertEquals(1, o.calls.stream().filter(c -> c.startsWith("ViewingBegan")).count());
+            assertTrue(kinds(list(o, uri)).startsWith("ii|p"));
+        }
+    }
+
+    /** A viewer who leaves before its place is reached: the insert is dropped once, and nothing is asked for. */
+    @Test
+    void aViewerWhoLeavesBeforeItsPlaceAsksForNothing() throws Exception {
+        try (Outside o = with(2, insert(Insert.Place.AT, 10_000, 0, true, 2))) {
+            CompletableFuture<HttpResponse<String>> asked = o.ask("free", 1);
+            Exchange main = o.serve(o.next("POST /S"));
+            media(asked);
+            main.piece(new Event("end", "idle").bytes());
+            o.until("ViewingOver");
+            assertNull(o.came.poll());
+            assertFalse(o.calls.stream().anyMatch(c -> c.startsWith("InsertDue")));
+        }
+    }
 }
--- a/record/src/main/java/walnutfield/record/Codec.java
+++ b/record/src/main/java/walnutfield/record/Codec.java
@@ -61,7 +61,7 @@
                 .setLoad(load(p.load()));
         } else if (c instanceof Call.Woke w) {
             b.setWoke(w.mark());
-        } else {
+        } else if (!StitchCodec.call(c, b)) {
             throw new IllegalStateException("a call that cannot be written: " + c);
         }
         return b.build();
@@ -87,7 +87,13 @@
             case PROBED -> new Call.Probed(new HostId(c.getProbed().getHost()), Outcome.values()[c.getProbed().getHow()],
                 c.getProbed().getTookMs(), load(c.getProbed().getLoad()));
             case WOKE -> new Call.Woke(c.getWoke());
-            case WHAT_NOT_SET -> throw new IllegalArgumentException("a call of a kind that is not known");
+            default -> {
+                Call beside = StitchCodec.call(c);
+                if (beside == null) {
+                    throw new IllegalArgumentException("a call of a kind that is not known");
+                }
+                yield beside;
+            }
         };
     }
 
@@ -111,7 +117,7 @@
             b.getWakeBuilder().setTimeMs(w.time()).setMark(w.mark());
         } else if (r instanceof Result.Noted n) {
             b.setNoted(n.line());
-        } else {
+        } else if (!StitchCodec.result(r, b)) {
             throw new IllegalStateException("a result that cannot be written: " + r);
         }
         return b.build();
@@ -146,14 +152,11 @@
     }
 
     private static walnutfield.record.wire.Wish wish(Wanted w) {
-        Band d = w.band();
         walnutfield.record.wire.Wish.Builder b = walnutfield.record.wire.Wish.newBuilder().setPlay(w.play().value())
             .setViewer(w.viewer().value()).setTitle(w.title().value()).setFirstCell(w.firstCell())
             .setHolders(w.holders()).setBestRung(w.bestRung()).setMoved(w.moved()).setLengthMs(w.lengthMs())
             .setLeftMs(w.leftMs());
-        b.getBandBuilder().setName(d.name()).setExpectedMs(d.expectedMs()).setHardStopMs(d.hardStopMs())
-            .setCredit(d.credit()).setPaid(d.paid()).setRates(d.rates()).setFloor(d.floor()).setTop(d.top())
-            .setSeats(d.seats());
+        b.setBand(band(w.band()));
         if (w.customer() != null) {
             b.setCustomer(w.customer().value());
         }
@@ -161,13 +164,22 @@
     }
 
     static Wanted wish(walnutfield.record.wire.Wish w) {
-        walnutfield.record.wire.Band d = w.getBand();
         return new Wanted(new PlayId(w.getPlay()), new ViewerId(w.getViewer()), new TitleId(w.getTitle()),
-            w.hasCustomer() ? new CustomerId(w.getCustomer()) : null, new Band(d.getName(), d.getExpectedMs(),
-                d.getHardStopMs(), d.getCredit(), d.getPaid(), d.getRates(), d.getFloor(), d.getTop(), d.getSeats()),
+            w.hasCustomer() ? new CustomerId(w.getCustomer()) : null, band(w.getBand()),
             w.getFirstCell(), w.getHolders(), w.getBestRung(), w.getMoved(), w.getLengthMs(), w.getLeftMs());
     }
 
+    static walnutfield.record.wire.Band band(Band d) {
+        return walnutfield.record.wire.Band.newBuilder().setName(d.name()).setExpectedMs(d.expectedMs())
+            .setHardStopMs(d.hardStopMs()).setCredit(d.credit()).setPaid(d.paid()).setRates(d.rates()).setFloor(d.floor())
+            .setTop(d.top()).setSeats(d.seats()).build();
+    }
+
+    static Band band(walnutfield.record.wire.Band d) {
+        return new Band(d.getName(), d.getExpectedMs(), d.getHardStopMs(), d.getCredit(), d.getPaid(), d.getRates(),
+            d.getFloor(), d.getTop(), d.getSeats());
+    }
+
     private static walnutfield.record.wire.Load load(Load l) {
         return walnutfield.record.wire.Load.newBuilder().setLink(l.link()).setUplink(l.uplink()).setStreams(l.streams())
             .build();
--- a/record/src/main/java/walnutfield/record/Making.java
+++ b/record/src/main/java/walnutfield/record/Making.java
@@ -1,6 +1,7 @@
 package walnutfield.record;
 
 import java.util.List;
+import walnutfield.desk.Carrier;
 import walnutfield.desk.Desk;
 import walnutfield.desk.Listener;
 import walnutfield.play.ColdTerms;
@@ -70,6 +71,11 @@
      * @param listener null for none
      */
     public Desk desk(Gateway out, Listener listener) {
+        return desk(out, Carrier.NONE, listener);
+    }
+
+    /** The same where what is decided beside the module is carried out too. */
+    public Desk desk(Gateway out, Carrier carrier, Listener listener) {
         return new Desk(new Post(seed(), head.getPost().getMe(), head.getPost().getGateways(),
             new PlaceId(head.getPost().getPlace())),
             new Ladder(head.getLadder().getKbList(), head.getLadder().getCreditList(), head.getLadder().getStall()),
@@ -84,6 +90,6 @@
                 head.getReports().getToldLateMs(), head.getReports().getAskForList()),
             new MoveTerms(head.getMovePrice()),
             head.getSharesList().stream().map(s -> new Share(new CustomerId(s.getCustomer()), s.getPlaysPerS(),
-                s.getBeyond())).toList(), out, listener);
+                s.getBeyond())).toList(), out, carrier, listener);
     }
 }
--- a/record/src/main/java/walnutfield/record/Replay.java
+++ b/record/src/main/java/walnutfield/record/Replay.java
@@ -42,35 +42,6 @@
     public record Report(Making making, long compared, long different, Map<String, Long> kinds, String first,
                          long projected, long unlike, long dropped, boolean ended, String damaged, double spanMs) { }
 
-    private static final class Silent implements Gateway {
-        @Override
-        public void setUp(PlayId play, HostId host, double patienceMs) { }
-
-        @Override
-        public void setRung(PlayId play, int rung) { }
-
-        @Override
-        public void move(PlayId play) { }
-
-        @Override
-        public void shed(PlayId play, double holdOffMs) { }
-
-        @Override
-        public void error(PlayId play) { }
-
-        @Override
-        public void probe(HostId host) { }
-
-        @Override
-        public void followList() { }
-
-        @Override
-        public void wake(double time, String mark) { }
-
-        @Override
-        public void log(String line) { }
-    }
-
     private final UnaryOperator<Making> settings;
     private final Witness witness;
     private final Ear ear;
@@ -154,7 +125,7 @@
     }
 
     private void fresh() {
-        desk = making.desk(new Silent(), new Listener() {
+        desk = making.desk(Gateway.NONE, new Listener() {
             @Override
             public void called(double now, Call call) { }
 
--- a/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
+++ b/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
@@ -29,6 +29,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Rehearsal.class);
     private static final double SETTLE_MS = 400;
     private static final double POLL_MS = 400;
+    private static final double WATCH_MS = 10;
+    private static final double LATE_MS = 40;
     private static final double DRAIN_MS = 8000;
 
     /**
@@ -37,9 +39,10 @@
      * @param plays    requests by how they were answered
      * @param playlist one viewer's, as last fetched
      * @param startsMs how long each viewer who was served waited
+     * @param stoodMs  the longest time that the machine stood still
      */
     public record Outcome(List<Verdict> verdicts, Map<String, Long> plays, int legs, List<Long> viewers,
-                          String playlist, List<Double> startsMs) {
+                          String playlist, List<Double> startsMs, double stoodMs) {
         public long broken() {
             return verdicts.stream().mapToLong(v -> v.broken().size()).sum();
         }
@@ -91,6 +94,7 @@
                 }
             }
             arrive(begin, begin);
+            watch(Clock.now());
             Thread.sleep((long) day.lengthMs());
             viewers.lastCall();
             double longest = day.rules().bands().values().stream().mapToDouble(Band::hardStopMs).max().orElse(0);
@@ -102,7 +106,7 @@
             List<Verdict> verdicts = new ArrayList<>(auditor.verdicts(end));
             verdicts.add(viewers.playlists());
             return new Outcome(verdicts, auditor.counts(), auditor.legCount(), viewers.figures(),
-                viewers.playlist(), auditor.starts());
+                viewers.playlist(), auditor.starts(), auditor.longestPause());
         } finally {
             timers.shutdownNow();
             if (viewers != null) {
@@ -120,6 +124,17 @@
         }
     }
 
+    /** Sees when the machine stands still, by being late itself. */
+    private void watch(double before) {
+        timers.schedule(() -> {
+            double now = Clock.now();
+            if (now - before > WATCH_MS + LATE_MS) {
+                auditor.stood(now, now - before - WATCH_MS);
+            }
+            watch(now);
+        }, (long) WATCH_MS, TimeUnit.MILLISECONDS);
+    }
+
     private interface Task {
         void run() throws IOException;
     }
