--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -314,7 +314,9 @@
         double waited = Math.min(now - from(now), Math.max(0, wish.band().hardStopMs() - wish.leftMs()));
         Play p = new Play(wish, now - waited, now, chance.next());
         plays.put(wish.play(), p);
-        takes.add(now);
+        if (!wish.own()) {
+            takes.add(now);
+        }
         lately.add(now);
         credit += CREDIT_LEARN * (wish.band().credit() - credit);
         earnProbes();
--- a/core/src/test/java/walnutfield/DirectorTest.java
+++ b/core/src/test/java/walnutfield/DirectorTest.java
@@ -585,4 +585,22 @@
         b.director.probed(b.now, Bench.host(0), Outcome.TIMED_OUT, 250, Load.NONE);
         assertNotEquals(0, b.sentTo(b.want(PAID, 4000)));
     }
+
+    /** Wishes of the gateway's own add no further legs to the ration: 10 plays at a share of 0.2 allow 2. */
+    @ParameterizedTest
+    @CsvSource({"false, 4", "true, 2"})
+    void theRationCountsPlaysOfViewersOnly(boolean own, int further) {
+        Bench b = new Bench(1, new LegTerms(4, 0, 0.2, 10_000), 0, false);
+        for (int i = 0; i < 10; i++) {
+            b.director.wanted(b.now, new Wanted(new PlayId(100 + i), new ViewerId(i), Bench.TITLE, null, FREE, 0, 6, 3, false,
+                0, 4000, own));
+        }
+        List<PlayId> plays = new java.util.ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            plays.add(b.want(FREE, 0, 6, 4000));
+        }
+        long first = b.count("set up");
+        plays.forEach(p -> b.end(p, 0, b.sentTo(p), Outcome.FAILED, false));
+        assertEquals(further, b.count("set up") - first);
+    }
 }
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -175,7 +175,7 @@
         int cell = insert ? v.insert.firstCell() : t.firstCell();
         int holders = insert ? v.insert.holders() : t.holders();
         return new Wanted(v.play, a.viewer(), a.title(), a.customer(), a.band(), cell, holders,
-            a.bestRung(), moved, length, leftMs);
+            a.bestRung(), moved, length, leftMs, insert || v.phase == Phase.PLAYING);
     }
 
     private void viewerGone(Exchange x, Viewing v) {
@@ -190,10 +190,12 @@
 
     /** Guards against a viewer left without an answer by a fault of ours; it never acts while the desk is sound. */
     private void overdue(Viewing v) {
-        if (v.phase == Phase.ASKED) {
+        if (!v.waiting.isEmpty()) {
             LOG.atError().addKeyValue("play", v.session).log("no answer by the hard stop");
             answerAll(v, x -> Answers.status(x, 504, v.session));
-            giveUp(v, "overdue");
+            if (v.phase == Phase.ASKED) {
+                giveUp(v, "overdue");
+            }
         }
     }
 
@@ -238,6 +240,7 @@
     /** The viewing's last line; its playlist stays for whoever is still reading it. */
     private void over(Viewing v, String end) {
         v.phase = Phase.OVER;
+        answerAll(v, x -> Answers.status(x, 502, v.session)); // who waits for an insert before a play that is lost
         thread.post(() -> inserts.over(v)); // after the desk's present call
         open.remove(v.asked.key(), v);
         figures.over(end, v.asked.band().name());
--- a/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
@@ -286,4 +286,21 @@
             assertFalse(o.calls.stream().anyMatch(c -> c.startsWith("InsertDue")));
         }
     }
+
+    /** The play's host is lost while its viewer waits for what comes first: the viewer is answered at once. */
+    @ParameterizedTest
+    @CsvSource({"paid, 502", "free, 200"})
+    void aViewerWhoWaitsForAnInsertIsAnsweredWhenThePlayIsLost(String band, int status) throws Exception {
+        try (Outside o = with(2, insert(Insert.Place.BEFORE, 0, 0, true, 2))) {
+            CompletableFuture<HttpResponse<String>> asked = o.ask(band, 1);
+            Exchange main = o.serve(o.next("POST /S"));
+            Came insert = o.next("POST /S");
+            main.abort();
+            if (status == 200) { // it comes back, and the insert after it
+                o.serve(o.next("POST /S"));
+                o.serve(insert, 2);
+            }
+            assertEquals(status, Outside.of(asked).statusCode());
+        }
+    }
 }
--- a/record/src/main/java/walnutfield/record/Codec.java
+++ b/record/src/main/java/walnutfield/record/Codec.java
@@ -155,7 +155,7 @@
         walnutfield.record.wire.Wish.Builder b = walnutfield.record.wire.Wish.newBuilder().setPlay(w.play().value())
             .setViewer(w.viewer().value()).setTitle(w.title().value()).setFirstCell(w.firstCell())
             .setHolders(w.holders()).setBestRung(w.bestRung()).setMoved(w.moved()).setLengthMs(w.lengthMs())
-            .setLeftMs(w.leftMs());
+            .setLeftMs(w.leftMs()).setOwn(w.own());
         b.setBand(band(w.band()));
         if (w.customer() != null) {
             b.setCustomer(w.customer().value());
@@ -166,7 +166,7 @@
     static Wanted wish(walnutfield.record.wire.Wish w) {
         return new Wanted(new PlayId(w.getPlay()), new ViewerId(w.getViewer()), new TitleId(w.getTitle()),
             w.hasCustomer() ? new CustomerId(w.getCustomer()) : null, band(w.getBand()),
-            w.getFirstCell(), w.getHolders(), w.getBestRung(), w.getMoved(), w.getLengthMs(), w.getLeftMs());
+            w.getFirstCell(), w.getHolders(), w.getBestRung(), w.getMoved(), w.getLengthMs(), w.getLeftMs(), w.getOwn());
     }
 
     static walnutfield.record.wire.Band band(Band d) {
--- a/standins/src/main/java/walnutfield/standin/MediaHosts.java
+++ b/standins/src/main/java/walnutfield/standin/MediaHosts.java
@@ -223,7 +223,7 @@
     private void dropAll(Host h) {
         double now = Clock.now();
         for (Session s : h.sessions.values()) {
-            auditor.sessionOver(s.play, h.plan.name(), now);
+            auditor.sessionLost(s.play, h.plan.name(), now);
         }
         h.sessions.clear();
         h.stood.clear();
@@ -309,7 +309,7 @@
                 return;
             }
             if (fallsOver(h, now)) {
-                auditor.hostFell(name, now);
+                auditor.hostFell(name, h.startedAt, now);
                 crash(name);
                 return;
             }
--- a/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
+++ b/standins/src/main/java/walnutfield/standin/day/Rehearsal.java
@@ -62,6 +62,7 @@
     private ListService list;
     private Viewers viewers;
     private volatile double listLateMs;
+    private double lastTold;
     private volatile double crowdTimes = 1;
 
     public Rehearsal(Day day, Rig rig) {
@@ -247,7 +248,12 @@
     }
 
     private void tell(HostPlan p, HostLine.Standing standing, double started) {
-        at(Clock.now() + listLateMs, () -> list.publish(entry(p, standing, started)));
+        double due;
+        synchronized (list) { // what the list tells comes in the order in which it happened
+            due = Math.max(lastTold + 1, Clock.now() + listLateMs);
+            lastTold = due;
+        }
+        at(due, () -> list.publish(entry(p, standing, started)));
     }
 
     private void befalls(Fault f, boolean begins) throws IOException {
