--- a/gateway/src/main/java/walnutfield/gateway/SessionPlaylist.java
+++ b/gateway/src/main/java/walnutfield/gateway/SessionPlaylist.java
@@ -11,6 +11,7 @@
 import walnutfield.hls.Attributes;
 import walnutfield.hls.MediaPlaylist;
 import walnutfield.hls.PlaylistWriter;
+import walnutfield.hls.Scte35;
 import walnutfield.hls.Segment;
 import walnutfield.hls.Tag;
 
@@ -277,6 +278,7 @@
         Attributes a = Attributes.NONE.quoted("ID", p.name + "-" + p.number).quoted("CLASS", CLASS)
             .quoted("START-DATE", p.startDate == null ? date(listedS) : p.startDate)
             .with(name, String.format(Locale.ROOT, "%.3f", s));
+        a = name.equals("DURATION") ? a.with("SCTE35-IN", Scte35.in(p.number)) : a.with("SCTE35-OUT", Scte35.out(p.number, s));
         return new Tag("EXT-X-DATERANGE", a.toString());
     }
 
--- a/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
@@ -79,9 +79,9 @@
             o.serve(insert, 2);
             MediaPlaylist p = list(o, media(asked), 3);
             assertTrue(kinds(p).startsWith("ii|p"), kinds(p));
-            assertTrue(p.segments().get(0).tag("EXT-X-DATERANGE").orElseThrow().value().contains("PLANNED-DURATION=2.000"));
+            assertTrue(p.segments().get(0).tag("EXT-X-DATERANGE").orElseThrow().value().contains("PLANNED-DURATION=2.000,SCTE35-OUT=0xFC30"));
             Segment first = p.segments().get(2);
-            assertTrue(first.tag("EXT-X-DATERANGE").orElseThrow().value().contains(",DURATION=2.000"));
+            assertTrue(first.tag("EXT-X-DATERANGE").orElseThrow().value().contains(",DURATION=2.000,SCTE35-IN=0xFC30"));
             assertTrue(first.tag(Segment.KEY).orElseThrow().value().startsWith("METHOD=AES-128"));
             assertEquals(p.segments().get(0).date().orElseThrow().plusSeconds(2), first.date().orElseThrow());
         }
