One way to call a play's leg off; three unused methods gone

The last reading found the calling off of a leg written three times in the gateway, and methods that nothing calls.

--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -98,11 +98,6 @@
         LOG.atInfo().addKeyValue("gateway", name).log("gateway ended");
     }
 
-    /** Plays under way, set-ups included. */
-    public int playing() {
-        return plays.playing();
-    }
-
     private int ask(java.util.function.IntSupplier what) {
         CountDownLatch done = new CountDownLatch(1);
         int[] answer = new int[1];
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -203,17 +203,25 @@
         PlayId play = v.play;
         byPlay.remove(play);
         over(v, end);
+        letGo(v, play);
+    }
+
+    /** A play that does not play is let go, and with it the leg that may be out. */
+    private void letGo(Viewing v, PlayId play) {
         tell(new Call.GaveUp(play));
         if (v.legOut) {
             v.legOut = false;
             if (v.leg != null) {
                 v.leg.callOff();
             }
-            tell(new Call.Ended(play, v.legs - 1, v.host, Outcome.CALLED_OFF, true, thread.now() - v.sentAt,
-                Load.NONE));
+            calledOff(v, play);
         }
     }
 
+    private void calledOff(Viewing v, PlayId play) {
+        tell(new Call.Ended(play, v.legs - 1, v.host, Outcome.CALLED_OFF, true, thread.now() - v.sentAt, Load.NONE));
+    }
+
     private void answerAll(Viewing v, java.util.function.Consumer<Exchange> answer) {
         List<Exchange> all = new ArrayList<>(v.waiting);
         v.waiting.clear();
@@ -270,8 +278,7 @@
                 closeStream(v);
                 hosts.end(v.address, v.session);
                 over(v, "viewer-idle");
-                tell(new Call.Ended(play, v.legs - 1, v.host, Outcome.CALLED_OFF, true, thread.now() - v.sentAt,
-                    Load.NONE));
+                calledOff(v, play);
             }
         }
         playlists.entrySet().removeIf(e -> e.getValue().polledAt() < oldest
@@ -503,19 +510,10 @@
             closeStream(insert);
             if (played) {
                 hosts.end(insert.address, insert.session);
+                calledOff(insert, play);
             } else {
-                tell(new Call.GaveUp(play));
-            }
-            if (insert.legOut) {
-                insert.legOut = false;
-                if (insert.leg != null) {
-                    insert.leg.callOff();
-                }
-            } else if (!played) {
-                return;
+                letGo(insert, play);
             }
-            tell(new Call.Ended(play, insert.legs - 1, insert.host, Outcome.CALLED_OFF, true, thread.now() - insert.sentAt,
-                Load.NONE));
         }
     }
 
--- a/standins/src/main/java/walnutfield/standin/MediaHosts.java
+++ b/standins/src/main/java/walnutfield/standin/MediaHosts.java
@@ -169,10 +169,6 @@
         return Math.max(0, hosts.get(host).startedAt);
     }
 
-    public synchronized boolean isUp(String host) {
-        return hosts.get(host).up;
-    }
-
     /** Says nothing and resets nothing; when that is over it has lost all and is cold. */
     public synchronized void silent(String host, boolean on) {
         Host h = hosts.get(host);
@@ -561,11 +557,6 @@
         timers.schedule(() -> to.piece(e.bytes()), (long) (terms.lateMs() + lateMore), TimeUnit.MILLISECONDS);
     }
 
-    /** Sessions on a host now. */
-    public synchronized int sessions(String host) {
-        return hosts.get(host).sessions.size();
-    }
-
     @Override
     public void close() throws IOException {
         timers.shutdownNow();
