Programmes that grow at their host are followed; stand-ins bind outside their lock

Need: a host's EVENT playlist was read once, so a live programme ended where it stood at the set-up.

Change: the gateway asks the session's host again as RFC 8216, 6.3.4 has it; what does not go on from the list before is left as a host that broke off; inserts beyond the end are dropped (a call of the desk, in records too). Titles of the stand-ins grow, one segment behind on every other host. A change of rung within an insert has its test.

--- a/app/src/main/java/walnutfield/app/MeasureCommand.java
+++ b/app/src/main/java/walnutfield/app/MeasureCommand.java
@@ -184,7 +184,7 @@
             plans.add(new HostPlan("h" + i, "here", i, 0, 1e9, 1_000_000, 1));
         }
         Auditor auditor = new Auditor(new Rules(bands, new LegTerms(4, 5, 0.2, 10_000), cold, 2000, 150));
-        HostTerms terms = new HostTerms(ladder, bands, cold, List.of(), 0, 0, 0, 500, 0, 500, 0, 1, 10, 1000, Map.of());
+        HostTerms terms = new HostTerms(ladder, bands, cold, List.of(), 0, 0, 0, 500, 0, 500, 0, 1, 10, 0, 1000, Map.of());
         try (ListService list = new ListService(auditor)) {
             Path config = dir.resolve("gateway-" + fleet + ".xml");
             Files.writeString(config, settings(fleet, list.port()));
@@ -197,7 +197,7 @@
                 }
                 more.append(fleet).append(" hosts: ").append(parts(client, child.at)).append('\n');
             }
-            HostTerms long1 = new HostTerms(ladder, bands, cold, List.of(), 0, 0, 0, 500, 0, 500, 0, 1, 10, 600_000, Map.of());
+            HostTerms long1 = new HostTerms(ladder, bands, cold, List.of(), 0, 0, 0, 500, 0, 500, 0, 1, 10, 0, 600_000, Map.of());
             try (MediaHosts hosts = new MediaHosts(plans, long1, 1, auditor);
                  Child child = child(config, hosts, list, null)) {
                 hold(client, child.at, held);
--- a/app/src/main/java/walnutfield/app/Script.java
+++ b/app/src/main/java/walnutfield/app/Script.java
@@ -102,7 +102,7 @@
         HostTerms terms = new HostTerms(ladder, all, Settings.cold(root), uplinked ? uplinks : List.of(),
             fleet.number("guard"), fleet.number("work-ms"), fleet.number("off-ladder"), fleet.number("refresh-ms"),
             fleet.number("noise"), fleet.number("late-ms"), fleet.number("tell-ms"), titles.number("segment-s"),
-            titles.whole("segments"), viewers.number("idle-ms"), pieces);
+            titles.whole("segments"), titles.whole("growing"), viewers.number("idle-ms"), pieces);
         Rules rules = new Rules(all, Settings.legs(root), Settings.cold(root),
             root.one("drains").number("grace-ms"), root.number("slack-ms"));
         double lengthMs = root.number("seconds") * 1000;
--- a/app/src/test/java/walnutfield/gateway/StitchingTest.java
+++ b/app/src/test/java/walnutfield/gateway/StitchingTest.java
@@ -1,6 +1,7 @@
 package walnutfield.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -28,6 +29,13 @@
         return new MediaPlaylist(3, 1, 0, 0, MediaPlaylist.Type.VOD, List.of(), all, true);
     }
 
+    /** The first segments of a programme that has {@link #PROGRAMME}. */
+    private static MediaPlaylist part(int rung, int segments, boolean keyed) {
+        MediaPlaylist whole = source(1, rung, PROGRAMME, 1, keyed);
+        return new MediaPlaylist(3, 1, 0, 0, MediaPlaylist.Type.EVENT, List.of(), whole.segments().subList(0, segments),
+            segments == PROGRAMME);
+    }
+
     private static URI host(SplittableRandom r) {
         return URI.create("http://127.0.0.1:" + (8000 + r.nextInt(4)) + "/");
     }
@@ -36,6 +44,7 @@
     void everyReloadIsValidWhateverHappens() throws Exception {
         int begun = 0;
         int whole = 0;
+        int grew = 0;
         for (long seed = 0; seed < 1500; seed++) {
             SplittableRandom r = new SplittableRandom(seed);
             double now = 1_000_000;
@@ -51,14 +60,28 @@
                 at += instead + r.nextDouble() * 4000;
             }
             boolean keyed = r.nextBoolean();
-            assertTrue(p.from(now, source(1, 2, PROGRAMME, 1, keyed), host(r), 2, "s"));
+            boolean grows = r.nextBoolean();
+            int there = grows ? r.nextInt(PROGRAMME) : PROGRAMME; // segments at the host that lists it now
+            int rung = 2;
+            assertTrue(p.from(now, grows ? part(rung, there, keyed) : source(1, rung, PROGRAMME, 1, keyed), host(r), rung, "s"));
             PlaylistCheck check = new PlaylistCheck();
             MediaPlaylist last = null;
             for (int step = 0; step < 60; step++) {
                 now += r.nextDouble() * 800;
                 int n = places == 0 ? 0 : r.nextInt(places);
-                switch (r.nextInt(8)) {
-                    case 0 -> p.from(now, source(1, r.nextInt(3), PROGRAMME, 1, keyed), host(r), 2, "t" + step);
+                switch (r.nextInt(grows ? 10 : 8)) {
+                    case 0 -> {
+                        rung = r.nextInt(3);
+                        there = grows ? Math.max(0, there - r.nextInt(2)) : there; // the next host may lag behind
+                        assertTrue(p.from(now, grows ? part(rung, there, keyed) : source(1, rung, PROGRAMME, 1, keyed), host(r),
+                            rung, "t" + step));
+                    }
+                    case 8, 9 -> {
+                        int before = there;
+                        there = Math.min(PROGRAMME, there + r.nextInt(3));
+                        assertTrue(p.grown(part(rung, there, keyed)));
+                        grew += there > before ? 1 : 0;
+                    }
                     case 1 -> p.hold();
                     case 2, 3, 4 -> {
                         if (places > 0) {
@@ -75,6 +98,7 @@
                 }
                 last = PlaylistReader.media(p.text(now));
                 assertNull(check.take(last), "seed " + seed + " step " + step + "\n" + p.text(now));
+                assertTrue(!last.ended() || there == PROGRAMME, "seed " + seed + ": ended before its host's list was");
             }
             for (int n = 0; n < places; n++) {
                 p.close(n);
@@ -91,6 +115,47 @@
             whole += last.segments().stream().filter(s -> s.uri().contains("/media/1/")).count() == PROGRAMME ? 1 : 0;
         }
         assertTrue(begun > 500 && whole > 500, "the drawn cases are worth something: " + begun + ", " + whole);
+        assertTrue(grew > 1000, "so many grew: " + grew);
+    }
+
+    /** What a host may not do to a playlist that it has told. */
+    @Test
+    void whatDoesNotGoOnFromTheListBeforeIsRefused() {
+        MediaPlaylist before = part(0, 5, false);
+        List<MediaPlaylist> wrong = List.of(part(0, 4, false), part(1, 6, false), source(1, 0, 5, 0.5, false),
+            new MediaPlaylist(3, 1, 2, 0, MediaPlaylist.Type.EVENT, List.of(), part(0, 7, false).segments(), false),
+            new MediaPlaylist(3, 2, 0, 0, MediaPlaylist.Type.EVENT, List.of(), part(0, 7, false).segments(), false));
+        for (MediaPlaylist w : wrong) {
+            SessionPlaylist p = new SessionPlaylist("v", 0, 100);
+            assertTrue(p.from(0, before, host(new SplittableRandom(1)), 0, "s"));
+            assertFalse(p.grown(w), w.toString());
+            assertTrue(p.grown(part(0, 6, false)), "and what was known stays");
+            assertEquals(6000, p.lengthMs());
+        }
+    }
+
+    @Test
+    void aWindowThatSlidesIsRefused() {
+        MediaPlaylist live = new MediaPlaylist(3, 1, 0, 0, MediaPlaylist.Type.NONE, List.of(), part(0, 5, false).segments(), false);
+        assertFalse(new SessionPlaylist("v", 0, 100).from(0, live, host(new SplittableRandom(1)), 0, "s"));
+    }
+
+    /** A change of rung within an insert: what is listed stays, the rest comes at the other rung behind a mark. */
+    @Test
+    void anInsertGoesOnAtAnotherRung() throws Exception {
+        SessionPlaylist p = new SessionPlaylist("v", 0, 3);
+        SplittableRandom r = new SplittableRandom(1);
+        p.place(0, "x", 0, 0, 1);
+        p.from(0, source(1, 2, 2, 1, false), host(r), 2, "s");
+        p.fill(0, source(900, 2, 4, 1, false), host(r), 2, "i");
+        PlaylistCheck check = new PlaylistCheck();
+        assertNull(check.take(PlaylistReader.media(p.text(0))));
+        assertTrue(p.fill(0, source(900, 0, 4, 1, false), host(r), 0, "i"));
+        MediaPlaylist m = PlaylistReader.media(p.text(100_000));
+        assertNull(check.take(m));
+        assertEquals(List.of("900/2/0", "900/2/1", "900/2/2", "900/0/3", "1/2/0", "1/2/1"),
+            m.segments().stream().map(s -> s.uri().replaceAll(".*/media/(.*)[.]ts.*", "$1")).toList());
+        assertEquals(List.of(false, false, false, true, true, false), m.segments().stream().map(Segment::discontinuity).toList());
     }
 
     /** A source's segments come once each, in their order; none of an insert is left out, of the programme a stretch may be. */
--- a/core/src/main/java/walnutfield/desk/Call.java
+++ b/core/src/main/java/walnutfield/desk/Call.java
@@ -238,6 +238,14 @@
         }
     }
 
+    /** The programme of a viewing, which grew until now, turns out to be so long. */
+    record ProgrammeEnded(PlayId viewing, double lengthMs) implements Call {
+        @Override
+        public void tell(Stitching stitching, double now) {
+            stitching.programmeEnded(viewing, lengthMs);
+        }
+    }
+
     /** A viewing is over; of these inserts all is listed and the viewer still fetches. */
     record ViewingOver(PlayId viewing, Set<Integer> fetched) implements Call {
         public ViewingOver {
--- a/core/src/main/java/walnutfield/desk/Stitching.java
+++ b/core/src/main/java/walnutfield/desk/Stitching.java
@@ -107,6 +107,13 @@
         }
     }
 
+    void programmeEnded(PlayId viewing, double lengthMs) {
+        List<Slot> all = viewings.get(viewing);
+        if (all != null) {
+            List.copyOf(all).forEach(s -> stitcher.programmeEnds(s, lengthMs));
+        }
+    }
+
     void over(PlayId viewing, Set<Integer> fetched) {
         List<Slot> all = viewings.get(viewing);
         if (all != null) {
--- a/core/src/main/java/walnutfield/stitch/Stitcher.java
+++ b/core/src/main/java/walnutfield/stitch/Stitcher.java
@@ -200,6 +200,13 @@
         }
     }
 
+    /** Its programme, which grew, is only so long: one whose place lies beyond that is dropped, placed or not. */
+    public void programmeEnds(Slot s, double lengthMs) {
+        if (!s.begun && s.insert.atMs() > lengthMs) {
+            drop(s, Why.PAST_THE_END);
+        }
+    }
+
     /**
      * Its viewing is over: it is dropped unless its viewer still fetches what was listed whole.
      *
--- a/gateway/src/main/java/walnutfield/gateway/HostClient.java
+++ b/gateway/src/main/java/walnutfield/gateway/HostClient.java
@@ -65,6 +65,11 @@
         return playlist(host, Request.of("PUT", "/sessions/" + session + "?rung=" + rung, headers(), ""), to);
     }
 
+    /** Asks for the session's playlist as it is by now. */
+    void reload(InetSocketAddress host, String session, Consumer<Reply> to) {
+        playlist(host, Request.get("/sessions/" + session, headers()), to);
+    }
+
     /** Tells the host that the viewer fetches nothing there for so long: the session is not idle. */
     void pause(InetSocketAddress host, String session, int rung, double ms) {
         client.send(host, Request.of("PUT", "/sessions/" + session + "?rung=" + rung + "&pause=" + (long) Math.ceil(ms),
--- a/gateway/src/main/java/walnutfield/gateway/Inserts.java
+++ b/gateway/src/main/java/walnutfield/gateway/Inserts.java
@@ -242,8 +242,22 @@
             return;
         }
         begun(v);
+        boolean whole = v.playlist.isWhole();
+        tellAndLet(v, new Call.ViewingOver(v.first, whole ? Set.copyOf(v.stitched.parts.keySet()) : Set.of()));
+    }
+
+    /** The length of a programme that grew is known by now. */
+    void programmeEnded(Viewing v) {
+        if (v.stitched != null && !v.stitched.inserts.isEmpty()) {
+            begun(v);
+            tellAndLet(v, new Call.ProgrammeEnded(v.first, v.playlist.lengthMs()));
+        }
+    }
+
+    /** Tells it to the desk; the plays of inserts that are dropped by it are let go. */
+    private void tellAndLet(Viewing v, Call call) {
         Map<Integer, Viewing> parts = new HashMap<>(v.stitched.parts);
-        desk.accept(new Call.ViewingOver(v.first, v.playlist.isWhole() ? parts.keySet() : Set.of()));
+        desk.accept(call);
         parts.forEach((n, part) -> {
             if (!v.stitched.open.contains(n)) {
                 host.let(part);
@@ -252,10 +266,9 @@
     }
 
     /** Whether a play whose host was lost comes back. */
-    boolean comesBack(Viewing v) {
+    boolean comesBack(Viewing v, double unlistedMs) {
         back = false;
-        desk.accept(new Call.PlayBroke(v.play, v.asked.band(), v.comebacks, thread.now() - v.startedAt,
-            v.playlist.unlistedMs()));
+        desk.accept(new Call.PlayBroke(v.play, v.asked.band(), v.comebacks, thread.now() - v.startedAt, unlistedMs));
         return back;
     }
 
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -170,14 +170,18 @@
         Viewing.Asked a = v.asked;
         boolean insert = v.main != null;
         Catalogue.Title t = insert ? null : catalogue.titles().get(a.title());
-        double length = insert ? v.insert.durationMs() : v.phase == Phase.PLAYING ? v.playlist.unlistedMs()
-            : t.lengthMs();
+        double length = insert ? v.insert.durationMs() : v.phase == Phase.PLAYING ? unlistedMs(v) : t.lengthMs();
         int cell = insert ? v.insert.firstCell() : t.firstCell();
         int holders = insert ? v.insert.holders() : t.holders();
         return new Wanted(v.play, a.viewer(), a.title(), a.customer(), a.band(), cell, holders,
             a.bestRung(), moved, length, leftMs, insert || v.phase == Phase.PLAYING);
     }
 
+    /** Milliseconds of a programme that are still to be listed. */
+    private double unlistedMs(Viewing v) {
+        return v.playlist.unlistedMs(catalogue.titles().get(v.asked.title()).lengthMs());
+    }
+
     private void viewerGone(Exchange x, Viewing v) {
         if (!v.waiting.remove(x)) {
             return;
@@ -344,7 +348,8 @@
             fits = inserts.placed(v, reply);
         } else {
             if (!again) {
-                inserts.plan(v, reply.playlist().durationS() * 1000);
+                v.grew = !reply.playlist().ended();
+                inserts.plan(v, v.grew ? Double.POSITIVE_INFINITY : reply.playlist().durationS() * 1000);
             }
             fits = v.playlist.from(thread.now(), reply.playlist(), HostClient.base(v.address), v.servedRung, v.session);
         }
@@ -359,6 +364,7 @@
         }
         listen(v, play);
         if (v.main == null) {
+            follow(v, play, v.playlist.targetMs());
             playlists.put(v.id, v.playlist);
             if (!again) {
                 figures.served(took, v.startedAt - v.takenAt);
@@ -589,12 +595,54 @@
             v.phase = Phase.OVER;
             inserts.ended(v, whole);
         } else {
+            if (whole) {
+                v.playlist.finish();
+                endOfProgramme(v);
+            }
             v.playlist.end(404, 0);
             over(v, "served");
         }
         tell(new Call.Ended(play, v.legs - 1, v.host, Outcome.SERVED, true, thread.now() - v.sentAt, Load.NONE));
     }
 
+    /** A programme that still grows at its host is followed there, as RFC 8216 has it (section 6.3.4). */
+    private void follow(Viewing v, PlayId play, double waitMs) {
+        if (!v.playlist.isGrowing()) {
+            endOfProgramme(v);
+            return;
+        }
+        thread.at(thread.now() + waitMs, () -> {
+            if (v.play.equals(play) && v.stream != null && v.phase == Phase.PLAYING) {
+                int rung = v.servedRung;
+                hosts.reload(v.address, v.session, reply -> thread.post(() -> reloaded(v, play, rung, reply)));
+            }
+        });
+    }
+
+    private void reloaded(Viewing v, PlayId play, int rung, HostClient.Reply reply) {
+        if (!v.play.equals(play) || v.stream == null || v.phase != Phase.PLAYING) {
+            return;
+        }
+        double before = v.playlist.lengthMs();
+        boolean asServed = v.servedRung == rung && v.rung == rung; // else it may be the playlist of another rung
+        if (reply.how() == Outcome.SERVED && asServed && !v.playlist.grown(reply.playlist())) {
+            LOG.atWarn().addKeyValue("play", v.session).addKeyValue("host", v.host.value())
+                .log("a playlist that does not go on from the one before");
+            hosts.end(v.address, v.session);
+            broke(v, play); // guards against a viewer who waits for what never comes; it harms where one bad answer was a chance
+            return;
+        }
+        follow(v, play, v.playlist.targetMs() / (v.playlist.lengthMs() > before ? 1 : 2));
+    }
+
+    /** Where the end of a programme that grew is known, inserts beyond it are not to be waited for. */
+    private void endOfProgramme(Viewing v) {
+        if (v.grew) {
+            v.grew = false;
+            inserts.programmeEnded(v);
+        }
+    }
+
     /** The host was lost while the play played. */
     private void broke(Viewing v, PlayId play) {
         if (!v.play.equals(play) || v.stream == null) {
@@ -614,7 +662,7 @@
             return;
         }
         v.playlist.hold();
-        boolean back = moved || inserts.comesBack(v);
+        boolean back = moved || inserts.comesBack(v, unlistedMs(v));
         tell(new Call.Ended(old, v.legs - 1, v.host, how, true, thread.now() - v.sentAt, Load.NONE));
         if (!back) {
             v.playlist.end(502, 0);
--- a/gateway/src/main/java/walnutfield/gateway/SessionPlaylist.java
+++ b/gateway/src/main/java/walnutfield/gateway/SessionPlaylist.java
@@ -26,8 +26,46 @@
     private static final double FRAME_S = 0.04;
     private static final String CLASS = "walnutfield.insert";
 
-    /** What segments are listed from: a host's playlist under a session there. */
-    private record Source(MediaPlaylist playlist, URI base, int rung, String session) { }
+    /** What segments are listed from: a host's playlist under a session there, as long as it is by now. */
+    private static final class Source {
+        private MediaPlaylist playlist;
+        private final URI base;
+        private final int rung;
+        private final String session;
+
+        Source(MediaPlaylist playlist, URI base, int rung, String session) {
+            this.playlist = playlist;
+            this.base = base;
+            this.rung = rung;
+            this.session = session;
+        }
+
+        MediaPlaylist playlist() {
+            return playlist;
+        }
+
+        URI base() {
+            return base;
+        }
+
+        int rung() {
+            return rung;
+        }
+
+        String session() {
+            return session;
+        }
+
+        /** The same encoding, though one may have grown further than the other. */
+        boolean isLike(Source other) {
+            return rung == other.rung && (playlist == other.playlist || begins(playlist.segments(), other.playlist.segments()));
+        }
+    }
+
+    private static boolean begins(List<Segment> one, List<Segment> other) {
+        int n = Math.min(one.size(), other.size());
+        return one.subList(0, n).equals(other.subList(0, n));
+    }
 
     /** Segments of one source listed in a row; {@code marks} stand before the first. */
     private record Run(Source source, int from, int to, boolean breaks, List<Tag> marks, double startS) { }
@@ -82,9 +120,14 @@
         targetS = Math.max(targetS, insertTargetS);
     }
 
-    /** From the next segment on, this is what is listed; false where its segments are longer than was told. */
+    /**
+     * From the next segment on, this is what is listed; false where its segments are longer than was told, or where it is
+     * a window that slides (no EXT-X-ENDLIST and not of type EVENT): what it has dropped another host could not go on from.
+     */
     synchronized boolean from(double now, MediaPlaylist playlist, URI at, int atRung, String under) {
-        if (programme == null) {
+        if (!playlist.ended() && playlist.type() != MediaPlaylist.Type.EVENT) {
+            return false;
+        } else if (programme == null) {
             targetS = Math.max(targetS, playlist.targetDurationS());
             startMs = now;
         } else if (playlist.targetDurationS() > targetS) {
@@ -95,6 +138,42 @@
         return true;
     }
 
+    /**
+     * The programme's host lists it so by now. False where that does not go on from what it listed before (RFC 8216,
+     * section 6.2.1): then nothing is taken over.
+     */
+    synchronized boolean grown(MediaPlaylist playlist) {
+        MediaPlaylist before = programme.playlist;
+        if (playlist.segments().size() < before.segments().size() || !begins(before.segments(), playlist.segments())
+            || playlist.targetDurationS() > targetS || playlist.mediaSequence() != before.mediaSequence()) {
+            return false;
+        }
+        programme.playlist = playlist;
+        return true;
+    }
+
+    /** Its host says that the viewer has had all of it, and so nothing more will come. */
+    synchronized void finish() {
+        MediaPlaylist p = programme.playlist;
+        programme.playlist = new MediaPlaylist(p.version(), p.targetDurationS(), p.mediaSequence(), p.discontinuitySequence(),
+            p.type(), p.tags(), p.segments(), true);
+    }
+
+    /** Whether its host may yet list more of the programme. */
+    synchronized boolean isGrowing() {
+        return programme != null && !programme.playlist.ended();
+    }
+
+    /** The programme's length as far as its host lists it. */
+    synchronized double lengthMs() {
+        return programme == null ? 0 : programme.playlist.durationS() * 1000;
+    }
+
+    /** Its host's target duration: how often that may be asked again (RFC 8216, section 6.3.4). */
+    synchronized double targetMs() {
+        return programme == null ? 0 : programme.playlist.targetDurationS() * 1000.0;
+    }
+
     /** An insert is served, or the rest of it from another host; false where it cannot be stitched in. */
     synchronized boolean fill(int number, MediaPlaylist playlist, URI at, int atRung, String under) {
         boolean maps = playlist.segments().isEmpty() || playlist.mapAt(0) == null == (programme.playlist().mapAt(0) == null);
@@ -181,12 +260,17 @@
 
     /** Whether everything is listed. */
     synchronized boolean isWhole() {
-        return programme != null && next >= programme.playlist().segments().size() && places.stream().noneMatch(p -> p.open);
+        return programme != null && !isGrowing() && next >= programme.playlist().segments().size() && places.stream().noneMatch(p -> p.open);
     }
 
-    /** Milliseconds of the programme that are not listed yet. */
-    synchronized double unlistedMs() {
-        return programme == null ? 0 : (programme.playlist().durationS() - programmeS) * 1000;
+    /**
+     * Milliseconds of the programme that are not listed yet.
+     *
+     * @param wholeMs its length as the catalogue has it, for one that still grows; 0 where that is not known
+     */
+    synchronized double unlistedMs(double wholeMs) {
+        double left = programme == null ? 0 : lengthMs() - programmeS * 1000;
+        return isGrowing() ? Math.max(targetMs(), Math.max(left, wholeMs - programmeS * 1000)) : left;
     }
 
     /** When, by the clock of its start, listing comes to that place at the earliest; NaN before there is a source. */
@@ -256,11 +340,10 @@
 
     private double list(Source from, int index) {
         Run last = runs.isEmpty() ? null : runs.get(runs.size() - 1);
-        if (last != null && last.source().equals(from) && last.to() == index && pending.isEmpty()) {
+        if (last != null && last.source() == from && last.to() == index && pending.isEmpty()) {
             runs.set(runs.size() - 1, new Run(from, last.from(), index + 1, last.breaks(), last.marks(), last.startS()));
         } else {
-            boolean same = last != null && last.to() == index && last.source().rung() == from.rung()
-                && last.source().playlist().equals(from.playlist()); // the same encoding from another host
+            boolean same = last != null && last.to() == index && last.source().isLike(from); // the same encoding from another host
             runs.add(new Run(from, index, index + 1, last != null && !same, pending, listedS));
             pending = new ArrayList<>();
         }
--- a/gateway/src/main/java/walnutfield/gateway/Viewing.java
+++ b/gateway/src/main/java/walnutfield/gateway/Viewing.java
@@ -55,6 +55,7 @@
     Client.Sent stream;
     int comebacks;
     Inserts.Stitched stitched;       // of a programme; null before it is served
+    boolean grew;                    // its programme was not at its end when it was served, and its end is not told yet
     boolean answered;                // its viewers were told the playlist
     Viewing main;                    // of an insert: the viewing that it is stitched into; null for a programme
     Insert insert;                   // of an insert
--- a/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
@@ -79,6 +79,52 @@
         }
     }
 
+    @Test
+    void aProgrammeThatGrowsIsFollowedToItsEnd() throws Exception {
+        try (Outside o = Outside.up(1)) {
+            CompletableFuture<HttpResponse<String>> asked = o.ask("free", 1);
+            o.serve(o.next(), Outside.growing("g", 1, false));
+            String uri = media(Outside.of(asked));
+            assertEquals(1, list(o, uri).segments().size());
+            o.next("GET /S").x().answer(500, Headers.NONE, new byte[0]); // that alone ends nothing
+            o.next("GET /S").x().answer(200, Headers.NONE, Outside.growing("g", 2, false));
+            Came again = o.next("GET /S"); // so the one before has been taken over
+            assertFalse(list(o, uri).ended());
+            again.x().answer(200, Headers.NONE, Outside.growing("g", 3, true));
+            MediaPlaylist p = list(o, uri);
+            while (!p.ended()) {
+                Thread.sleep(20);
+                p = list(o, uri);
+            }
+            assertEquals(3, p.segments().size());
+            assertEquals(MediaPlaylist.Type.EVENT, p.type());
+        }
+    }
+
+    @Test
+    void aHostThatTakesBackWhatItListedIsLeftForAnother() throws Exception {
+        try (Outside o = Outside.up(2)) {
+            CompletableFuture<HttpResponse<String>> asked = o.ask("free", 1);
+            Came first = o.next();
+            o.serve(first, Outside.growing("g", 3, false));
+            String uri = media(Outside.of(asked));
+            assertEquals(3, list(o, uri).segments().size());
+            o.next("GET /S").x().answer(200, Headers.NONE, Outside.growing("other", 4, false));
+            Came second = o.next("POST /S");
+            assertNotEquals(first.host(), second.host());
+            o.serve(second, Outside.growing("g", 2, false)); // it lags behind
+            o.next("GET /S").x().answer(200, Headers.NONE, Outside.growing("g", 4, true));
+            MediaPlaylist p = list(o, uri);
+            while (!p.ended()) {
+                Thread.sleep(20);
+                p = list(o, uri);
+            }
+            assertEquals(4, p.segments().size());
+            assertTrue(p.segments().get(3).uri().contains(":" + o.portOf(second.host()) + "/"));
+            assertFalse(p.segments().get(3).discontinuity(), "the same encoding from another host");
+        }
+    }
+
     @Test
     void whereNoOtherHostIsLeftThePlayEndsHonestly() throws Exception {
         try (Outside o = Outside.up(1)) {
--- a/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
@@ -56,6 +56,23 @@
         return p;
     }
 
+    @Test
+    void anInsertBeyondTheEndOfAProgrammeThatGrewIsDropped() throws Exception {
+        try (Outside o = with(1, insert(Insert.Place.AT, 5000, 0, false, 2))) {
+            CompletableFuture<HttpResponse<String>> asked = o.ask("free", 1);
+            o.serve(o.next(), Outside.growing("g", 1, false));
+            String uri = media(asked);
+            o.next("GET /S").x().answer(200, Headers.NONE, Outside.growing("g", 2, true));
+            o.until("ProgrammeEnded[viewing=PlayId[value=1], lengthMs=2000.0]");
+            MediaPlaylist p = list(o, uri);
+            while (!p.ended()) {
+                Thread.sleep(20);
+                p = list(o, uri);
+            }
+            assertEquals(2, p.segments().size());
+        }
+    }
+
     private static String title(Came c) {
         return c.x().request().parameters().get("title");
     }
--- a/gateway/src/test/java/walnutfield/gateway/Outside.java
+++ b/gateway/src/test/java/walnutfield/gateway/Outside.java
@@ -234,7 +234,16 @@
         return serve(setUp, b.append("#EXT-X-ENDLIST\n").toString().getBytes(StandardCharsets.UTF_8));
     }
 
-    private Exchange serve(Came setUp, byte[] playlist) throws InterruptedException {
+    /** A playlist that grows: so many segments of a second by now, with names of its own. */
+    static byte[] growing(String name, int segments, boolean ended) {
+        StringBuilder b = new StringBuilder("#EXTM3U\n#EXT-X-TARGETDURATION:1\n#EXT-X-PLAYLIST-TYPE:EVENT\n");
+        for (int i = 0; i < segments; i++) {
+            b.append("#EXTINF:1,\n").append(name).append('/').append(i).append(".ts\n");
+        }
+        return b.append(ended ? "#EXT-X-ENDLIST\n" : "").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    Exchange serve(Came setUp, byte[] playlist) throws InterruptedException {
         setUp.x().answer(200, Headers.NONE, playlist);
         Exchange stream = next("GET /S/events").x();
         stream.begin(200, Headers.of("Content-Type", "text/event-stream"));
--- a/record/src/main/java/walnutfield/record/StitchCodec.java
+++ b/record/src/main/java/walnutfield/record/StitchCodec.java
@@ -48,6 +48,8 @@
             b.setInsertLate(slot(i.viewing(), i.slot()));
         } else if (c instanceof Call.ViewingOver v) {
             b.getViewingOverBuilder().setViewing(v.viewing().value()).addAllFetched(new TreeSet<>(v.fetched()));
+        } else if (c instanceof Call.ProgrammeEnded p) {
+            b.getProgrammeEndedBuilder().setViewing(p.viewing().value()).setLengthMs(p.lengthMs());
         } else if (c instanceof Call.MinutePassed) {
             b.setMinutePassed(Nothing.getDefaultInstance());
         } else if (c instanceof Call.PlayBroke p) {
@@ -85,6 +87,8 @@
             case INSERT_LATE -> new Call.InsertLate(new PlayId(c.getInsertLate().getViewing()), c.getInsertLate().getSlot());
             case VIEWING_OVER -> new Call.ViewingOver(new PlayId(c.getViewingOver().getViewing()),
                 new LinkedHashSet<>(c.getViewingOver().getFetchedList()));
+            case PROGRAMME_ENDED -> new Call.ProgrammeEnded(new PlayId(c.getProgrammeEnded().getViewing()),
+                c.getProgrammeEnded().getLengthMs());
             case MINUTE_PASSED -> new Call.MinutePassed();
             case PLAY_BROKE -> new Call.PlayBroke(new PlayId(c.getPlayBroke().getPlay()), Codec.band(c.getPlayBroke().getBand()),
                 c.getPlayBroke().getBefore(), c.getPlayBroke().getSinceMs(), c.getPlayBroke().getUnlistedMs());
--- a/standins/src/main/java/walnutfield/standin/HostTerms.java
+++ b/standins/src/main/java/walnutfield/standin/HostTerms.java
@@ -19,12 +19,13 @@
  * @param tellMs    link figures of playing plays come so often; 0 for never
  * @param segmentS  length of a segment
  * @param segments  of a title
+ * @param growing   titles from the first on that grow, a segment at a time, from when they are first asked for
  * @param pieces    titles of another length, by id
  * @param idleMs    a session whose viewer fetches nothing for so long is over
  */
 public record HostTerms(Ladder ladder, Map<String, Band> bands, ColdTerms cold, List<Double> rackKb, double guard,
                         double workMs, double offLadder, double refreshMs, double noise, double lateMs, double tellMs,
-                        double segmentS, int segments, double idleMs, Map<Long, Piece> pieces) {
+                        double segmentS, int segments, int growing, double idleMs, Map<Long, Piece> pieces) {
     /**
      * A title that is not like the others.
      *
--- a/standins/src/main/java/walnutfield/standin/MediaHosts.java
+++ b/standins/src/main/java/walnutfield/standin/MediaHosts.java
@@ -102,6 +102,7 @@
     private double tellAt;
     private double refreshAt;
     private double lateMore;
+    private final Map<Long, Double> growsSince = new HashMap<>(); // one for each title that grows
 
     public MediaHosts(List<HostPlan> plans, HostTerms terms, long seed, Auditor auditor) throws IOException {
         this.terms = terms;
@@ -135,23 +136,42 @@
     // ---- Faults
 
     /** Lost at once with all that it has. */
-    public synchronized void crash(String host) {
+    public void crash(String host) {
         Host h = hosts.get(host);
-        if (!h.up) {
-            return;
+        synchronized (this) {
+            if (!h.up) {
+                return;
+            }
+            down(h);
         }
+        unplug(h);
+    }
+
+    private void down(Host h) {
         h.up = false;
         byPort.remove(h.port);
+        dropAll(h);
+    }
+
+    /**
+     * Never under the lock, and so for what else waits for the server's threads: these wait for the lock in turn, and both
+     * stand until the server's patience is over.
+     */
+    private void unplug(Host h) {
         server.unbind(h.port);
         server.cut(h.port);
-        dropAll(h);
     }
 
     /** Comes back after a crash, cold, at the same address. */
-    public synchronized void restart(String host) throws IOException {
+    public void restart(String host) throws IOException {
         Host h = hosts.get(host);
-        if (!h.up) {
-            server.bind(h.port);
+        synchronized (this) {
+            if (h.up) {
+                return;
+            }
+        }
+        server.bind(h.port); // what comes before it is up is aborted
+        synchronized (this) {
             byPort.put(h.port, h);
             h.up = true;
             cold(h);
@@ -170,13 +190,17 @@
     }
 
     /** Says nothing and resets nothing; when that is over it has lost all and is cold. */
-    public synchronized void silent(String host, boolean on) {
+    public void silent(String host, boolean on) {
         Host h = hosts.get(host);
-        h.silent = on;
         if (!on) {
             server.cut(h.port);
-            dropAll(h);
-            cold(h);
+        }
+        synchronized (this) {
+            h.silent = on;
+            if (!on) {
+                dropAll(h);
+                cold(h);
+            }
         }
     }
 
@@ -280,6 +304,7 @@
         } else {
             switch (x.request().method()) {
                 case "POST" -> setUp(h, x, session.group(1));
+                case "GET" -> reload(h, x, session.group(1));
                 case "PUT" -> setRung(h, x, session.group(1));
                 case "DELETE" -> {
                     over(h, session.group(1));
@@ -301,13 +326,23 @@
         Query q = x.request().parameters();
         double now = Clock.now();
         double work;
+        boolean falls;
         synchronized (this) {
             if (!h.up) {
                 return;
             }
-            if (fallsOver(h, now)) {
+            falls = fallsOver(h, now);
+            if (falls) {
                 auditor.hostFell(name, h.startedAt, now);
-                crash(name);
+                down(h);
+            }
+        }
+        if (falls) {
+            unplug(h);
+            return;
+        }
+        synchronized (this) {
+            if (!h.up) {
                 return;
             }
             boolean full = h.sessions.size() >= h.plan.slots()
@@ -349,7 +384,7 @@
             }
             s.serving = true;
             s.streamLostAt = Clock.now();
-            body = playlist(s.title, s.rung);
+            body = playlist(h, s);
             auditor.legOver(play, h.plan.name(), Auditor.Fate.SERVED, Clock.now());
         }
         x.answer(200, loaded(h).with("Content-Type", "application/vnd.apple.mpegurl"), body);
@@ -384,12 +419,33 @@
             s.fetchedAt = Math.max(s.fetchedAt, Clock.now() + x.request().parameters().whole("pause", 0));
             s.rateKb = rate(s);
             auditor.rungChanged(play, h.plan.name(), s.band, s.rung, Clock.now());
-            body = playlist(s.title, s.rung);
+            body = playlist(h, s);
         }
         x.answer(200, loaded(h), body);
     }
 
-    private byte[] playlist(long title, int rung) {
+    private void reload(Host h, Exchange x, String play) {
+        byte[] body;
+        synchronized (this) {
+            Session s = h.sessions.get(play);
+            body = s == null ? null : playlist(h, s);
+        }
+        x.answer(body == null ? 404 : 200, loaded(h), body == null ? new byte[0] : body);
+    }
+
+    /** Segments of a title that there are by now; every other host has them a segment later than the rest. */
+    private int grown(Host h, long title) {
+        if (title > terms.growing() || terms.pieces().containsKey(title)) {
+            return segments(title);
+        }
+        double now = Clock.now();
+        double since = growsSince.computeIfAbsent(title, t -> now);
+        return (int) Math.max(0, Math.min(terms.segments(), 2 - h.plan.cell() % 2 + (now - since) / (terms.segmentS() * 1000)));
+    }
+
+    private byte[] playlist(Host h, Session s) {
+        long title = s.title;
+        int rung = s.rung;
         HostTerms.Piece piece = terms.pieces().get(title);
         if (piece != null && piece.damaged()) {
             return "#EXTM3U\n#EXTINF:soon,\n".getBytes(StandardCharsets.UTF_8);
@@ -397,13 +453,16 @@
         double segmentS = piece == null ? terms.segmentS() : piece.segmentS();
         double left = piece == null ? terms.segments() * segmentS : piece.durationS();
         List<Segment> all = new ArrayList<>();
-        for (int i = 0; left > 1e-6; i++) {
+        int there = grown(h, title);
+        for (int i = 0; left > 1e-6 && i < there; i++) {
             double d = Math.min(left, segmentS);
             all.add(new Segment("media/" + title + "/" + rung + "/" + i + ".ts", d, "", null, false, List.of()));
             left -= d;
         }
-        return PlaylistWriter.write(new MediaPlaylist(3, (int) Math.ceil(segmentS), 0, 0, MediaPlaylist.Type.VOD,
-            List.of(), all, true)).getBytes(StandardCharsets.UTF_8);
+        boolean whole = left <= 1e-6;
+        boolean grows = piece == null && title <= terms.growing();
+        return PlaylistWriter.write(new MediaPlaylist(3, (int) Math.ceil(segmentS), 0, 0,
+            grows ? MediaPlaylist.Type.EVENT : MediaPlaylist.Type.VOD, List.of(), all, whole)).getBytes(StandardCharsets.UTF_8);
     }
 
     private int segments(long title) {
--- a/standins/src/test/java/walnutfield/standin/audit/AuditorTest.java
+++ b/standins/src/test/java/walnutfield/standin/audit/AuditorTest.java
@@ -37,7 +37,7 @@
         for (int i = 0; i < 4; i++) {
             hosts.add(new HostPlan("h" + i, "p", i, 0, 1e6, 400, 1));
         }
-        HostTerms terms = new HostTerms(LADDER, bands, cold, List.of(), 0, 1, 0, 300, 0, 100, 0, 1, 5, 60_000, Map.of());
+        HostTerms terms = new HostTerms(LADDER, bands, cold, List.of(), 0, 1, 0, 300, 0, 100, 0, 1, 5, 0, 60_000, Map.of());
         Crowd crowd = new Crowd(60, Map.of("free", 1.0, "paid", 1.0, "seated", 1.0), 1, 0, 0, 0, 0,
             List.of(new Crowd.TitlePlan(1, 0, 4)));
         Rules rules = new Rules(bands, new LegTerms(4, 5, 0.2, 10_000), cold, 300, 150);
