One part under all fronts: Plays takes, holds, joins, answers once; HLS is a side of it

Need: a second front must share what the first did alone: taking a play, holding, answering once, joining retries, draining, admission.

Change: Viewing is what a front does for a play, Plays all that is the same, Admission the bounded way to the desk's thread; HLS keeps playlists, streams and inserts.

--- a/gateway/src/main/java/walnutfield/gateway/Front.java
+++ b/gateway/src/main/java/walnutfield/gateway/Front.java
@@ -4,10 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -32,25 +29,17 @@
         boolean pass(Exchange x);
     }
 
-    private final DeskThread thread;
-    private final Plays plays;
+    private final Admission admission;
+    private final Hls hls;
     private final Catalogue catalogue;
-    private final Terms.Front terms;
     private final List<Stage> chain = List.of(this::method, this::session, this::health, this::figures, this::draining, this::wish);
     private final Supplier<String> metrics;
-    private final Queue<Waiting> waiting = new ConcurrentLinkedQueue<>(); // emptied by the sweep
-    private volatile boolean draining;
 
-    Front(DeskThread thread, Plays plays, Catalogue catalogue, Terms.Front terms, Supplier<String> metrics) {
+    Front(Admission admission, Hls hls, Catalogue catalogue, Supplier<String> metrics) {
         this.metrics = metrics;
-        this.thread = thread;
-        this.plays = plays;
+        this.admission = admission;
+        this.hls = hls;
         this.catalogue = catalogue;
-        this.terms = terms;
-    }
-
-    void drain() {
-        draining = true;
     }
 
     void handle(Exchange x) {
@@ -76,7 +65,7 @@
         if (!m.matches()) {
             return true;
         }
-        SessionPlaylist p = plays.playlist(m.group(1));
+        SessionPlaylist p = hls.playlist(m.group(1));
         if (p == null) {
             Answers.status(x, 404, null);
         } else if (p.endStatus() == 503) {
@@ -93,7 +82,7 @@
         if (!x.request().path().equals("/health")) {
             return true;
         }
-        Answers.status(x, draining ? 503 : 200, null);
+        Answers.status(x, admission.isDraining() ? 503 : 200, null);
         return false;
     }
 
@@ -109,10 +98,10 @@
 
     /** A draining gateway takes nothing new. */
     private boolean draining(Exchange x) {
-        if (!draining) {
+        if (!admission.isDraining()) {
             return true;
         }
-        Answers.notNow(x, null, terms.retryAfterS() * 1000.0);
+        admission.turnAway(new HlsAsker(x));
         return false;
     }
 
@@ -140,40 +129,14 @@
             String customer = q.get("customer");
             Viewing.Asked asked = new Viewing.Asked(viewer(viewer), title, band,
                 customer == null ? null : new CustomerId(customer), best);
-            Waiting w = new Waiting(x, at);
-            if (thread.offer(() -> {
-                if (w.settle()) {
-                    plays.asked(x, asked, at);
-                }
-            })) {
-                waiting.add(w);
-            } else {
-                Answers.notNow(x, null, terms.retryAfterS() * 1000.0);
-            }
+            admission.take(new HlsAsker(x), new Viewing.Key(HlsViewing.FRONT, asked.viewer(), title), at,
+                () -> hls.viewing(asked, at));
         }
         return false;
     }
 
-    /**
-     * Guards against wishes left unanswered while the desk's thread stands still or is far behind: what waited too
-     * long for it is shed from here, untaken. It harms where the thread would have come to it just then.
-     */
-    void sweep() {
-        double oldest = Clock.now() - terms.untakenMs();
-        for (Iterator<Waiting> all = waiting.iterator(); all.hasNext();) {
-            Waiting w = all.next();
-            if (!w.isSettled() && w.at > oldest) {
-                continue;
-            }
-            all.remove();
-            if (w.settle() && !w.exchange.isDone()) {
-                Answers.notNow(w.exchange, null, terms.retryAfterS() * 1000.0);
-            }
-        }
-    }
-
     /** A number stands for itself; any other name for eight bytes of its SHA-256. */
-    private static ViewerId viewer(String name) {
+    static ViewerId viewer(String name) {
         if (name.matches("[0-9]{1,18}")) {
             return new ViewerId(Long.parseLong(name));
         }
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -2,10 +2,12 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -33,6 +35,8 @@
     private final HostClient hosts;
     private final Client lists;
     private final Plays plays;
+    private final Hls hls;
+    private final Admission admission;
     private final ListClient list;
     private final Front front;
     private final Server server;
@@ -56,16 +60,19 @@
         hosts = new HostClient(name, hostTerms);
         lists = new Client(name + "-list", 1, new Client.Terms(listTerms.retryMs(), 1000, 1, 16_384, Long.MAX_VALUE));
         String life = name + "." + Long.toString((long) Clock.now(), 36);
-        plays = new Plays(life, thread, hosts, frontTerms, hostTerms, catalogue, figures, maker);
+        hls = new Hls(life, thread, hosts, frontTerms, hostTerms, catalogue, figures);
+        plays = new Plays(life, thread, this::probe, frontTerms, hostTerms, figures, maker, hls.inserts);
+        hls.over(plays);
+        admission = new Admission(thread, plays, frontTerms);
         list = new ListClient(thread, lists, listTerms, name, plays::tell, plays::listChanged);
-        front = new Front(thread, plays, catalogue, frontTerms, metrics);
+        front = new Front(admission, hls, catalogue, metrics);
         server = new Server(name, frontTerms.selectors(), frontTerms.limits(), front::handle);
         sweeper = Executors.newSingleThreadScheduledExecutor(r -> {
             Thread t = new Thread(r, name + "-untaken");
             t.setDaemon(true);
             return t;
         });
-        sweeper.scheduleWithFixedDelay(front::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        sweeper.scheduleWithFixedDelay(admission::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         figures.gauge("plays.open", plays::playing);
         figures.gauge("desk.queue", thread::waiting);
         figures.gauge("connections", server::connections);
@@ -74,21 +81,28 @@
     /** Starts; returns the port that viewers reach it at. */
     public int start() throws IOException {
         thread.start();
-        thread.post(() -> plays.begin(list));
+        thread.post(() -> {
+            plays.begin(list);
+            hls.begin();
+        });
         server.start();
         port = server.bind(frontTerms.port());
         LOG.atInfo().addKeyValue("gateway", name).addKeyValue("port", port).log("gateway started");
         return port;
     }
 
+    private void probe(InetSocketAddress host, Consumer<Viewing.Came> to) {
+        hosts.probe(host, reply -> to.accept(new Viewing.Came(reply.how(), reply.load(), reply.why(), () -> true)));
+    }
+
     /** From now on these inserts are stitched into viewings that begin; those under way keep theirs. */
     public void schedule(Schedule next) {
-        thread.post(() -> plays.schedule(next));
+        thread.post(() -> hls.schedule(next));
     }
 
     /** Takes nothing new, answers what it holds, then ends; after that time it ends in any case. */
     public void drain(double mostMs) throws IOException {
-        front.drain();
+        admission.drain();
         double until = Clock.now() + mostMs;
         LOG.atInfo().addKeyValue("gateway", name).log("gateway draining");
         while (Clock.now() < until && ask(plays::unanswered) > 0) {
--- a/gateway/src/main/java/walnutfield/gateway/Inserts.java
+++ b/gateway/src/main/java/walnutfield/gateway/Inserts.java
@@ -29,22 +29,22 @@
     /** What inserts ask of the plays. */
     interface Host {
         /** A wish for an insert; the play's number is the gateway's to choose. */
-        void want(Viewing insert);
+        void want(HlsViewing insert);
 
         /** The viewing's first insert is settled: its viewer may be answered. */
-        void settled(Viewing main);
+        void settled(HlsViewing main);
 
         /** The programme's host is told that nobody fetches from it for so long. */
-        void pause(Viewing main, double ms);
+        void pause(HlsViewing main, double ms);
 
         /** An insert's play is of no use any more. */
-        void let(Viewing insert);
+        void let(HlsViewing insert);
     }
 
     /** What is known of the inserts of one viewing. */
     static final class Stitched {
         private final List<Insert> inserts;
-        private final Map<Integer, Viewing> parts = new HashMap<>(); // inserts under way
+        private final Map<Integer, HlsViewing> parts = new HashMap<>(); // inserts under way
         private final Set<Integer> open = new HashSet<>();           // that have no last report yet
         private final Set<Integer> before = new HashSet<>();         // of these, before the programme and not placed
         boolean waits;
@@ -64,8 +64,8 @@
     private final Host host;
     private final Figures figures;
     private final Consumer<Call> desk;
-    private final Map<PlayId, Viewing> viewings = new HashMap<>(); // by first play; emptied as their last insert is reported
-    private Viewing planning;
+    private final Map<PlayId, HlsViewing> viewings = new HashMap<>(); // by first play; emptied as their last insert is reported
+    private HlsViewing planning;
     private boolean back;
 
     Inserts(DeskThread thread, Host host, Figures figures, Consumer<Call> desk) {
@@ -90,7 +90,7 @@
     }
 
     /** Plans a viewing whose programme is served. */
-    void plan(Viewing v, double lengthMs) {
+    void plan(HlsViewing v, double lengthMs) {
         v.stitched = new Stitched(List.of());
         planning = v;
         desk.accept(new Call.ViewingBegan(v.first, v.asked.viewer(), v.asked.customer(), v.asked.band(),
@@ -100,7 +100,7 @@
 
     @Override
     public void planned(PlayId viewing, List<Insert> inserts) {
-        Viewing v = planning;
+        HlsViewing v = planning;
         viewings.put(viewing, v);
         v.stitched = new Stitched(inserts);
         for (int n = 0; n < inserts.size(); n++) {
@@ -110,7 +110,7 @@
     }
 
     /** The programme has its source: inserts are due as their places come near. */
-    void follow(Viewing v) {
+    void follow(HlsViewing v) {
         v.stitched.waits = !v.stitched.before.isEmpty();
         for (int n = 0; n < v.stitched.inserts.size(); n++) {
             if (v.stitched.before.contains(n)) {
@@ -124,7 +124,7 @@
     }
 
     /** A place is due one expected time before listing comes to it. */
-    private void look(Viewing v, int n) {
+    private void look(HlsViewing v, int n) {
         if (!v.stitched.open.contains(n) || v.phase == Viewing.Phase.OVER) {
             return;
         }
@@ -136,7 +136,7 @@
         }
     }
 
-    private void due(Viewing v, int n) {
+    private void due(HlsViewing v, int n) {
         if (v.phase != Viewing.Phase.OVER) {
             desk.accept(new Call.InsertDue(v.first, n, v.asked.band()));
         }
@@ -144,38 +144,35 @@
 
     @Override
     public void askFor(PlayId viewing, int n, Band band) {
-        Viewing v = viewings.get(viewing);
+        HlsViewing v = viewings.get(viewing);
         if (v != null) {
             thread.post(() -> want(v, n, band)); // after the desk's present call
         }
     }
 
-    private void want(Viewing v, int n, Band band) {
+    private void want(HlsViewing v, int n, Band band) {
         if (v.phase == Viewing.Phase.OVER || !v.stitched.open.contains(n)) {
             return;
         }
         Insert i = v.stitched.inserts.get(n);
-        Viewing part = new Viewing(new Viewing.Asked(v.asked.viewer(), i.title(), band, v.asked.customer(),
-            Math.min(v.asked.bestRung(), i.topRung())), v.id, thread.now(), 0);
-        part.main = v;
-        part.insert = i;
-        part.slot = n;
+        HlsViewing part = new HlsViewing(v, i, n, new Viewing.Asked(v.asked.viewer(), i.title(), band, v.asked.customer(),
+            Math.min(v.asked.bestRung(), i.topRung())), thread.now());
         v.stitched.parts.put(n, part);
         host.want(part);
     }
 
     @Override
     public void askAgain(PlayId viewing, int n, double at) {
-        Viewing v = viewings.get(viewing);
+        HlsViewing v = viewings.get(viewing);
         if (v != null) {
             thread.at(at, () -> due(v, n));
         }
     }
 
     /** A viewer who waits is answered by the expected time, come what may. */
-    private void late(Viewing v, int n) {
+    private void late(HlsViewing v, int n) {
         if (v.stitched.before.contains(n)) {
-            Viewing part = v.stitched.parts.get(n);
+            HlsViewing part = v.stitched.parts.get(n);
             desk.accept(new Call.InsertLate(v.first, n));
             if (part != null && !v.stitched.open.contains(n)) {
                 host.let(part);
@@ -184,8 +181,8 @@
     }
 
     /** Its leg was served; false where its playlist cannot be stitched in. */
-    boolean placed(Viewing part, HostClient.Reply reply) {
-        Viewing v = part.main;
+    boolean placed(HlsViewing part, HostClient.Reply reply) {
+        HlsViewing v = part.main;
         if (!v.stitched.open.contains(part.slot) || v.phase == Viewing.Phase.OVER) {
             return false;
         }
@@ -200,19 +197,19 @@
     }
 
     /** Its host serves it, or serves it at another rung from the next segment on; false where that cannot be stitched in. */
-    boolean fill(Viewing part, HostClient.Reply reply) {
+    boolean fill(HlsViewing part, HostClient.Reply reply) {
         return part.main.playlist.fill(part.slot, reply.playlist(), HostClient.base(part.address), part.servedRung, part.session);
     }
 
     /** No host took it. */
-    void notTaken(Viewing part, Why why) {
+    void notTaken(HlsViewing part, Why why) {
         part.main.stitched.parts.remove(part.slot, part);
         desk.accept(new Call.InsertNotTaken(part.main.first, part.slot, why));
     }
 
     /** Its host was lost while it played. */
-    void broke(Viewing part) {
-        Viewing v = part.main;
+    void broke(HlsViewing part) {
+        HlsViewing v = part.main;
         begun(v);
         v.stitched.parts.remove(part.slot, part);
         double left = v.playlist.unlistedOf(part.slot);
@@ -223,21 +220,21 @@
     }
 
     /** Its host says that the viewer has had all of it, or fetches no more. */
-    void ended(Viewing part, boolean whole) {
+    void ended(HlsViewing part, boolean whole) {
         begun(part.main);
         part.main.stitched.parts.remove(part.slot, part);
         desk.accept(new Call.InsertEnded(part.main.first, part.slot, whole));
     }
 
     /** Tells of inserts whose first segment was listed since. */
-    void begun(Viewing v) {
+    void begun(HlsViewing v) {
         for (int n = v.playlist.newlyBegun(); n >= 0; n = v.playlist.newlyBegun()) {
             desk.accept(new Call.InsertBegun(v.first, n, v.asked.viewer()));
         }
     }
 
     /** The viewing is over: inserts end with it, but for those that are listed whole and still fetched. */
-    void over(Viewing v) {
+    void over(HlsViewing v) {
         if (v.stitched == null || v.stitched.inserts.isEmpty()) {
             return;
         }
@@ -247,7 +244,7 @@
     }
 
     /** The length of a programme that grew is known by now. */
-    void programmeEnded(Viewing v) {
+    void programmeEnded(HlsViewing v) {
         if (v.stitched != null && !v.stitched.inserts.isEmpty()) {
             begun(v);
             tellAndLet(v, new Call.ProgrammeEnded(v.first, v.playlist.lengthMs()));
@@ -255,8 +252,8 @@
     }
 
     /** Tells it to the desk; the plays of inserts that are dropped by it are let go. */
-    private void tellAndLet(Viewing v, Call call) {
-        Map<Integer, Viewing> parts = new HashMap<>(v.stitched.parts);
+    private void tellAndLet(HlsViewing v, Call call) {
+        Map<Integer, HlsViewing> parts = new HashMap<>(v.stitched.parts);
         desk.accept(call);
         parts.forEach((n, part) -> {
             if (!v.stitched.open.contains(n)) {
@@ -266,7 +263,7 @@
     }
 
     /** Whether a play whose host was lost comes back. */
-    boolean comesBack(Viewing v, double unlistedMs) {
+    boolean comesBack(HlsViewing v, double unlistedMs) {
         back = false;
         desk.accept(new Call.PlayBroke(v.play, v.asked.band(), v.comebacks, thread.now() - v.startedAt, unlistedMs));
         return back;
@@ -278,7 +275,7 @@
     }
 
     /** Once none before the programme is open, its viewer is answered. */
-    private void settle(Viewing v, int n) {
+    private void settle(HlsViewing v, int n) {
         v.stitched.before.remove(n);
         if (v.stitched.waits && v.stitched.before.isEmpty()) {
             v.stitched.waits = false;
@@ -289,7 +286,7 @@
     @Override
     public void reported(PlayId viewing, int n, InsertId insert, String what) {
         figures.insert(what, insert.value());
-        Viewing v = viewings.get(viewing);
+        HlsViewing v = viewings.get(viewing);
         LOG.atInfo().addKeyValue("insert", insert.value()).addKeyValue("what", what).addKeyValue("viewing", viewing.value())
             .log("insert");
         if (v == null || what.equals("started")) {
--- a/gateway/src/main/java/walnutfield/gateway/Waiting.java
+++ b/gateway/src/main/java/walnutfield/gateway/Waiting.java
@@ -1,16 +1,15 @@
 package walnutfield.gateway;
 
 import java.util.concurrent.atomic.AtomicBoolean;
-import walnutfield.net.Exchange;
 
 /** A wish on its way to the desk's thread: either that takes it, or the front sheds it, never both. */
 final class Waiting {
-    final Exchange exchange;
+    final Asker asker;
     final double at;
     private final AtomicBoolean settled = new AtomicBoolean();
 
-    Waiting(Exchange exchange, double at) {
-        this.exchange = exchange;
+    Waiting(Asker asker, double at) {
+        this.asker = asker;
         this.at = at;
     }
 
