A front for video calls: back-to-back SIP agent over the same plays, tested against told peers

Need: calls placed on media hosts by the same module, under the same rules.

Change: Calls reads wishes out of INVITEs (titles, bands, rates in SDP), CallViewing is a call's two sides, HostWatch asks each host by OPTIONS for all its calls.

--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -79,7 +79,7 @@
             Recorder recorder = record == null ? null : new Recorder(record, making, mostMb << 20, mostHours * 3.6e6);
             PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
             new JvmMemoryMetrics().bindTo(registry);
-            GatewayServer g = new GatewayServer(root.text("name"), Settings.front(root), Settings.hosts(root),
+            GatewayServer g = new GatewayServer(root.text("name"), Settings.front(root), Settings.sip(root), Settings.hosts(root),
                 Settings.list(root), Settings.catalogue(root, ladder, Settings.bands(root, ladder.kb().size())),
                 registry, registry::scrape, (out, beside) -> making.desk(out, beside, recorder));
             g.schedule(Settings.schedule(root));
@@ -100,6 +100,9 @@
                 ended.countDown();
             }, "drain"));
             System.out.println("listening on 127.0.0.1:" + g.start());
+            if (g.sipPort() > 0) {
+                System.out.println("calls on 127.0.0.1:" + g.sipPort());
+            }
             ended.await();
             return 0;
         }
--- a/app/src/main/java/walnutfield/app/Script.java
+++ b/app/src/main/java/walnutfield/app/Script.java
@@ -140,6 +140,7 @@
     Rig rig(Path records, Schedule inserts, MeterRegistry registry) {
         Terms.Front front = Settings.front(root);
         Terms.Hosts hosts = Settings.hosts(root);
+        Terms.Sip sip = Settings.sip(root);
         int[] lives = new int[day.gateways()];
         return (name, me, service) -> {
             Post post = new Post(day.seed() * 1000 + me, me, day.gateways(), new PlaceId(PLACE));
@@ -147,7 +148,7 @@
             int life = ++lives[me];
             Recorder recorder = records == null ? null : new Recorder(records.resolve(name + (life > 1 ? "-" + life : "")
                 + ".record"), making, RECORD_BYTES, RECORD_MS);
-            GatewayServer g = new GatewayServer(name, front, hosts, new Terms.Lists(service, null, 500), catalogue,
+            GatewayServer g = new GatewayServer(name, front, sip, hosts, new Terms.Lists(service, null, 500), catalogue,
                 registry, () -> "", (out, beside) -> making.desk(out, beside, recorder));
             g.schedule(inserts);
             return new Gate(g, g.start(), recorder);
--- a/app/src/main/java/walnutfield/app/Settings.java
+++ b/app/src/main/java/walnutfield/app/Settings.java
@@ -113,6 +113,16 @@
             f.whole("retry-after-s"), f.number("ahead-s"), f.number("idle-ms"));
     }
 
+    /** The front for calls; null where there is none. */
+    static Terms.Sip sip(Xml root) {
+        if (!root.has("sip")) {
+            return null;
+        }
+        Xml s = root.one("sip");
+        return new Terms.Sip(s.whole("port"), s.number("t1-ms"), s.whole("half-open"), s.whole("streams"),
+            s.number("session-s") * 1000, s.flag("probes"));
+    }
+
     static Terms.Hosts hosts(Xml root) {
         Xml h = root.one("host-client");
         return new Terms.Hosts(new Client.Terms(h.number("dial-ms"), h.number("idle-ms"), h.whole("idle-most"),
--- a/gateway/src/main/java/walnutfield/gateway/Admission.java
+++ b/gateway/src/main/java/walnutfield/gateway/Admission.java
@@ -40,10 +40,15 @@
      * @param make run on that thread where the wish joins no open play
      */
     void take(Asker x, Viewing.Key key, double at, Supplier<Viewing> make) {
+        take(x, at, () -> plays.asked(x, key, at, make));
+    }
+
+    /** The same for what is yet to be read there. */
+    void take(Asker x, double at, Runnable there) {
         Waiting w = new Waiting(x, at);
         if (draining || !thread.offer(() -> {
             if (w.settle()) {
-                plays.asked(x, key, at, make);
+                there.run();
             }
         })) {
             turnAway(x);
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -37,6 +37,8 @@
     private final Plays plays;
     private final Hls hls;
     private final Admission admission;
+    private final Calls calls; // null where there is no front for calls
+    private final Terms.Sip sipTerms;
     private final ListClient list;
     private final Front front;
     private final Server server;
@@ -48,9 +50,10 @@
      * @param name     of the gateway, as hosts and the list service see it
      * @param registry counts and times
      * @param metrics  what /metrics answers
+     * @param sip      the front for video calls; null for none
      * @param maker    makes its desk
      */
-    public GatewayServer(String name, Terms.Front frontTerms, Terms.Hosts hostTerms, Terms.Lists listTerms,
+    public GatewayServer(String name, Terms.Front frontTerms, Terms.Sip sip, Terms.Hosts hostTerms, Terms.Lists listTerms,
                          Catalogue catalogue, MeterRegistry registry, Supplier<String> metrics,
                          DeskMaker maker) throws IOException {
         Figures figures = new Figures(registry, name);
@@ -61,9 +64,14 @@
         lists = new Client(name + "-list", 1, new Client.Terms(listTerms.retryMs(), 1000, 1, 16_384, Long.MAX_VALUE));
         String life = name + "." + Long.toString((long) Clock.now(), 36);
         hls = new Hls(life, thread, hosts, frontTerms, hostTerms, catalogue, figures);
-        plays = new Plays(life, thread, this::probe, frontTerms, hostTerms, figures, maker, hls.inserts);
+        sipTerms = sip;
+        calls = sip == null ? null : new Calls(life, thread, sip, hostTerms, catalogue, hls.inserts);
+        plays = new Plays(life, thread, sip != null && sip.probes() ? calls : this::probe, frontTerms, hostTerms, figures, maker, hls.inserts);
         hls.over(plays);
         admission = new Admission(thread, plays, frontTerms);
+        if (calls != null) {
+            calls.over(plays, admission);
+        }
         list = new ListClient(thread, lists, listTerms, name, plays::tell, plays::listChanged);
         front = new Front(admission, hls, catalogue, metrics);
         server = new Server(name, frontTerms.selectors(), frontTerms.limits(), front::handle);
@@ -87,6 +95,9 @@
         });
         server.start();
         port = server.bind(frontTerms.port());
+        if (calls != null) {
+            LOG.atInfo().addKeyValue("gateway", name).addKeyValue("port", calls.bind(sipTerms.port())).log("calls taken");
+        }
         LOG.atInfo().addKeyValue("gateway", name).addKeyValue("port", port).log("gateway started");
         return port;
     }
@@ -95,6 +106,11 @@
         hosts.probe(host, reply -> to.accept(new Viewing.Came(reply.how(), reply.load(), reply.why(), () -> true)));
     }
 
+    /** The port of the front for calls; 0 for none. */
+    public int sipPort() {
+        return calls == null ? 0 : calls.port();
+    }
+
     /** From now on these inserts are stitched into viewings that begin; those under way keep theirs. */
     public void schedule(Schedule next) {
         thread.post(() -> hls.schedule(next));
@@ -154,6 +170,9 @@
         server.unbind(port);
         server.cut(port);
         server.close();
+        if (calls != null) {
+            calls.close();
+        }
         hosts.close();
         lists.close();
     }
--- a/gateway/src/main/java/walnutfield/gateway/Inserts.java
+++ b/gateway/src/main/java/walnutfield/gateway/Inserts.java
@@ -263,7 +263,7 @@
     }
 
     /** Whether a play whose host was lost comes back. */
-    boolean comesBack(HlsViewing v, double unlistedMs) {
+    boolean comesBack(Viewing v, double unlistedMs) {
         back = false;
         desk.accept(new Call.PlayBroke(v.play, v.asked.band(), v.comebacks, thread.now() - v.startedAt, unlistedMs));
         return back;
--- a/gateway/src/main/java/walnutfield/gateway/Terms.java
+++ b/gateway/src/main/java/walnutfield/gateway/Terms.java
@@ -24,6 +24,18 @@
     public record Front(int port, int selectors, Limits limits, int queue, double untakenMs, int joined, int retryAfterS,
                         double aheadS, double idleMs) { }
 
+    /**
+     * The front for video calls.
+     *
+     * @param port      on loopback, for datagrams and streams; 0 for any
+     * @param t1Ms      round trip (RFC 3261, section 17.1.1.1); T2 is 8 and T4 10 times as long
+     * @param halfOpen  calls of one address that may wait for an answer or its ACK
+     * @param streams   connections at a time
+     * @param sessionMs a caller who is not heard of for so long is gone (RFC 4028)
+     * @param probes    hosts are probed by OPTIONS
+     */
+    public record Sip(int port, double t1Ms, int halfOpen, int streams, double sessionMs, boolean probes) { }
+
     /**
      * The way to the hosts.
      *
--- a/gateway/src/test/java/walnutfield/gateway/Outside.java
+++ b/gateway/src/test/java/walnutfield/gateway/Outside.java
@@ -58,6 +58,7 @@
 
     final BlockingQueue<Came> came = new LinkedBlockingQueue<>();
     final AtomicReference<PlayId> moveNext = new AtomicReference<>();
+    private final AtomicReference<Runnable> rungNext = new AtomicReference<>();
     private final AtomicReference<Gateway> out = new AtomicReference<>();
     final BlockingQueue<Exchange> follows = new LinkedBlockingQueue<>();
     final List<String> calls = java.util.Collections.synchronizedList(new ArrayList<>());
@@ -87,6 +88,9 @@
         listPort = lists.bind(0);
     }
 
+    /** The front for calls; null for none. */
+    Terms.Sip sip;
+
     Outside start(int queue, Path kept) throws Exception {
         Map<String, Band> bands = Map.of("free", FREE, "paid", PAID, "seated", SEATED);
         Map<TitleId, Catalogue.Title> titles = Map.of(new TitleId(7), new Catalogue.Title(new TitleId(7), 0,
@@ -95,6 +99,10 @@
             @Override public void called(double now, walnutfield.desk.Call call) {
                 calls.add(call.toString());
                 PlayId moves = moveNext.getAndSet(null);
+                Runnable rung = rungNext.getAndSet(null);
+                if (rung != null) {
+                    rung.run();
+                }
                 if (moves != null) { // as if the module had decided it within this call
                     out.get().move(moves);
                 }
@@ -102,7 +110,7 @@
 
             @Override public void resulted(double now, walnutfield.desk.Result result) { }
         };
-        gateway = new GatewayServer("gw", new Terms.Front(0, 1, LIMITS, queue, 1200, 3, 2, 3, 60_000),
+        gateway = new GatewayServer("gw", new Terms.Front(0, 1, LIMITS, queue, 1200, 3, 2, 3, 60_000), sip,
             new Terms.Hosts(new Client.Terms(1000, 5000, 8, 16_384, 1 << 20), 1, 500, 700),
             new Terms.Lists(new InetSocketAddress("127.0.0.1", listPort), kept, 100),
             new Catalogue(titles, bands, LADDER), new SimpleMeterRegistry(), () -> "",
@@ -284,6 +292,12 @@
         return 0;
     }
 
+    /** As if the module had decided it, within its next call. */
+    void setRung(PlayId play, int rung) throws InterruptedException {
+        rungNext.set(() -> out.get().setRung(play, rung));
+        tellAll();
+    }
+
     int portOf(int host) {
         return ports.get(host);
     }
--- a/sip/src/main/java/walnutfield/sip/Framer.java
+++ b/sip/src/main/java/walnutfield/sip/Framer.java
@@ -10,6 +10,8 @@
  * (RFC 5626, section 4.4.1) are passed over, and told of where they want an answer.
  */
 public final class Framer {
+    private static final byte[] PING = {'\r', '\n', '\r', '\n'};
+
     private final int most;
     private final Consumer<byte[]> to;
     private final Runnable ping;
@@ -30,11 +32,10 @@
         byte[] b = all.toByteArray();
         int from = 0;
         while (from < b.length) {
-            int start = skip(b, from);
-            if (start < 0) {
+            from = skip(b, from);
+            if (from == b.length || isLineEnd(b[from])) {
                 break;
             }
-            from = start;
             int head = head(b, from);
             if (head < 0) {
                 if (b.length - from > most) {
@@ -55,21 +56,28 @@
         held = Arrays.copyOfRange(b, Math.min(from, b.length), b.length);
     }
 
-    /** Where the next message begins; -1 where what is there may yet be part of a keep-alive, or is nothing. */
+    /** Where the next message begins, or what may yet be part of a keep-alive. */
     private int skip(byte[] b, int from) {
         int i = from;
-        while (i < b.length && (b[i] == '\r' || b[i] == '\n')) {
-            if (i + 3 < b.length && b[i] == '\r' && b[i + 1] == '\n' && b[i + 2] == '\r' && b[i + 3] == '\n') {
+        while (i < b.length && isLineEnd(b[i])) {
+            int same = 0;
+            while (same < PING.length && i + same < b.length && b[i + same] == PING[same]) {
+                same++;
+            }
+            if (same == PING.length) {
                 ping.run();
-                i += 4;
-            } else if (i + 3 < b.length || i + 2 < b.length && b[i + 2] != '\r') {
-                i++;
+                i += same;
+            } else if (i + same == b.length) {
+                return i;
             } else {
-                held = Arrays.copyOfRange(b, i, b.length);
-                return i == from ? -1 : i;
+                i++;
             }
         }
-        return i < b.length ? i : -1;
+        return i;
+    }
+
+    private static boolean isLineEnd(byte b) {
+        return b == '\r' || b == '\n';
     }
 
     private static int head(byte[] b, int from) {
--- a/sip/src/main/java/walnutfield/sip/Overload.java
+++ b/sip/src/main/java/walnutfield/sip/Overload.java
@@ -1,6 +1,7 @@
 package walnutfield.sip;
 
 import gov.nist.javax.sip.header.Via;
+import java.util.List;
 import java.util.Locale;
 
 /**
@@ -32,6 +33,9 @@
     /** Writes it into the Via of a response. */
     public void write(Via via) {
         try {
+            for (String name : List.of("oc", "oc-algo", "oc-validity", "oc-seq")) {
+                via.removeParameter(name); // one that was quoted would be quoted twice
+            }
             via.setParameter("oc", Integer.toString(percent));
             via.setParameter("oc-algo", "\"loss\"");
             via.setParameter("oc-validity", Long.toString((long) validMs));
--- a/sip/src/main/java/walnutfield/sip/SipText.java
+++ b/sip/src/main/java/walnutfield/sip/SipText.java
@@ -7,7 +7,10 @@
 import gov.nist.javax.sip.parser.StringMsgParser;
 import java.nio.charset.StandardCharsets;
 import java.text.ParseException;
+import java.util.Iterator;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Reads and writes messages (RFC 3261, sections 7 and 25) with JAIN-SIP's parser behind a rim of our own: whatever comes,
@@ -18,6 +21,9 @@
     public static final int MOST = 65_535;
     private static final int FIELDS_MOST = 256;
     private static final int LINE_MOST = 8_192;
+    private static final Pattern STATUS_LINE = Pattern.compile("SIP/2\\.0 [1-6][0-9]{2}( .*)?", Pattern.CASE_INSENSITIVE);
+    private static final Pattern REQUEST_LINE =
+        Pattern.compile("[A-Za-z0-9.!%*_+`'~-]{1,64} [^ \t<>\"]+ ([A-Za-z]{1,16}/[0-9]+\\.[0-9]+)");
 
     private SipText() { }
 
@@ -31,6 +37,7 @@
             throw new Malformed(400, "no end of the header");
         }
         lines(bytes, head);
+        startLine(bytes);
         SIPMessage m;
         try {
             m = new StringMsgParser().parseSIPMessage(bytes, true, true, (e, message, type, field, text) -> {
@@ -60,6 +67,25 @@
         return -1;
     }
 
+    /** JAIN's parser is more lenient with it than section 25 is, and with a version that is not ours. */
+    private static void startLine(byte[] b) throws Malformed {
+        int end = 0;
+        while (b[end] != '\r' && b[end] != '\n') {
+            end++;
+        }
+        String line = new String(b, 0, end, StandardCharsets.UTF_8);
+        if (STATUS_LINE.matcher(line).matches()) {
+            return;
+        }
+        Matcher m = REQUEST_LINE.matcher(line);
+        if (!m.matches()) {
+            throw new Malformed(400, "a start line that is none");
+        }
+        if (!m.group(1).equalsIgnoreCase("SIP/2.0")) {
+            throw new Malformed(505, "not SIP/2.0");
+        }
+    }
+
     private static void lines(byte[] b, int head) throws Malformed {
         int fields = 0;
         int from = 0;
@@ -92,9 +118,8 @@
             throw new Malformed(400, "the body is shorter than Content-Length");
         }
         if (m instanceof SIPRequest r) {
-            if (r.getRequestURI() == null || r.getRequestLine().getSipVersion() == null
-                || !r.getRequestLine().getSipVersion().equalsIgnoreCase("SIP/2.0")) {
-                throw new Malformed(505, "not SIP/2.0");
+            if (r.getRequestURI() == null) {
+                throw new Malformed(400, "no request URI");
             }
             if (!r.getMethod().equals(r.getCSeq().getMethod())) {
                 throw new Malformed(400, "CSeq names another method");
@@ -107,6 +132,30 @@
         }
     }
 
+    /**
+     * What the sender of a malformed request is told, made of the fields that can be told apart in it; null where that is
+     * not enough, or where it is no request that has a response.
+     */
+    public static byte[] refusal(byte[] malformed, Malformed why) {
+        String text = new String(malformed, 0, Math.min(malformed.length, LINE_MOST), StandardCharsets.UTF_8);
+        String[] lines = text.split("\r\n");
+        if (lines[0].startsWith("SIP/") || lines[0].startsWith("ACK ")) {
+            return null;
+        }
+        StringBuilder out = new StringBuilder("SIP/2.0 ").append(why.status()).append(" Refused\r\n");
+        for (String name : List.of("Via:", "From:", "To:", "Call-ID:", "CSeq:")) {
+            String line = null;
+            for (String l : lines) {
+                line = line == null && l.regionMatches(true, 0, name, 0, name.length()) ? l : line;
+            }
+            if (line == null) {
+                return null;
+            }
+            out.append(line).append(name.equals("To:") && !line.contains(";tag=") ? ";tag=refused" : "").append("\r\n");
+        }
+        return out.append("Content-Length: 0\r\n\r\n").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
     /** A message that we composed ourselves; it cannot be malformed but by a fault of ours. */
     public static SIPMessage own(String text) {
         try {
@@ -120,10 +169,25 @@
         return m.encodeAsBytes("udp");
     }
 
-    /** The value of a field that is not of RFC 3261; null where there is none. */
+    /** The value of a field, or of all of that name as a list; null where there is none. */
     public static String field(SIPMessage m, String name) {
-        String line = m.getHeader(name) == null ? null : m.getHeader(name).toString();
-        return line == null ? null : line.substring(line.indexOf(':') + 1).strip();
+        StringBuilder out = new StringBuilder();
+        for (Iterator<?> all = m.getHeaders(name); all.hasNext();) {
+            String line = all.next().toString();
+            out.append(out.length() == 0 ? "" : ", ").append(line.substring(line.indexOf(':') + 1).strip());
+        }
+        return out.length() == 0 ? null : out.toString();
+    }
+
+    /** Adds a field to a message of our own. */
+    public static void add(SIPMessage m, String name, String value) {
+        m.addHeader(name + ": " + value);
+    }
+
+    /** Gives a message of our own a session description. */
+    public static void describe(SIPMessage m, String description) {
+        add(m, "Content-Type", "application/sdp");
+        m.setMessageContent(description.getBytes(StandardCharsets.UTF_8));
     }
 
     /** A whole number in a field, or {@code otherwise}. */
