--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -174,6 +174,11 @@
                 .append(o.viewers().get(1)).append(", watched whole ").append(o.viewers().get(2)).append(", broken off ")
                 .append(o.viewers().get(3)).append(", malformed playlists ").append(o.viewers().get(4))
                 .append("; legs ").append(o.legs()).append('\n');
+            if (!o.callers().isEmpty()) {
+                text.append("callers (simulated): talked out ").append(o.callers().get(0)).append(", cut off ")
+                    .append(o.callers().get(1)).append(", told of changes ").append(o.callers().get(2)).append(", final answers ")
+                    .append(o.callers().get(3)).append(", messages sent again ").append(o.callers().get(4)).append('\n');
+            }
             if (o.stoodMs() > 0) {
                 text.append(String.format(Locale.ROOT, "the machine stood still for %.0f ms at most; allowed for%n", o.stoodMs()));
             }
--- a/app/src/main/java/walnutfield/app/Script.java
+++ b/app/src/main/java/walnutfield/app/Script.java
@@ -23,6 +23,7 @@
 import walnutfield.record.Recorder;
 import walnutfield.standin.HostPlan;
 import walnutfield.standin.HostTerms;
+import walnutfield.standin.Weather;
 import walnutfield.standin.audit.Rules;
 import walnutfield.standin.day.Crowd;
 import walnutfield.standin.day.Day;
@@ -88,7 +89,7 @@
         Map<String, Double> mix = new LinkedHashMap<>();
         root.one("bands").all("band").forEach(b -> mix.put(b.text("name"), b.number("weight")));
         Crowd crowd = new Crowd(viewers.number("per-s"), mix, titles.number("skew"), viewers.number("returns"),
-            viewers.number("twice"), viewers.number("impatient"), viewers.number("weakest"), plans);
+            viewers.number("twice"), viewers.number("impatient"), viewers.number("weakest"), calls(root), plans);
         schedule = Settings.schedule(root);
         Map<Long, HostTerms.Piece> pieces = new HashMap<>();
         for (Xml i : root.has("inserts") ? root.one("inserts").all("insert") : List.<Xml>of()) {
@@ -119,6 +120,18 @@
         day = new Day(seed, lengthMs, gateways, root.number("list-late-ms"), hosts, terms, crowd, rules, faults);
     }
 
+    private static Crowd.Calls calls(Xml root) throws BadSettings {
+        if (!root.has("calls")) {
+            return Crowd.Calls.NONE;
+        }
+        Xml c = root.one("calls");
+        if (!root.has("sip")) {
+            throw c.bad("calls need a gateway's front for them: sip");
+        }
+        return new Crowd.Calls(c.number("part"), c.number("mean-s") * 1000, c.number("mute"), c.number("hammers"),
+            root.one("sip").number("t1-ms"), new Weather.Sky(c.number("loss"), c.number("twice"), c.number("late-ms")));
+    }
+
     Schedule schedule() {
         return schedule;
     }
@@ -169,6 +182,11 @@
             }
         }
 
+        @Override
+        public int sipPort() {
+            return server.sipPort();
+        }
+
         @Override
         public void stall(double ms) {
             server.stall(ms);
--- a/gateway/src/main/java/walnutfield/gateway/CallViewing.java
+++ b/gateway/src/main/java/walnutfield/gateway/CallViewing.java
@@ -92,8 +92,8 @@
                 + calls.via() + "\r\nMax-Forwards: 70\r\nFrom: <sip:" + calls.name + "@" + calls.at() + ">;tag=" + session + "."
                 + number + "\r\nTo: <sip:" + asked.title().value() + "@" + host + ">\r\nCall-ID: " + session + "." + number
                 + "\r\nCSeq: 1 INVITE\r\nContact: <" + calls.contact() + ">\r\nAllow: " + Calls.ALLOW + "\r\n" + Calls.PLAY + ": "
-                + session + "\r\n" + Calls.PLAY + "-Leg: " + number + "\r\n" + Calls.PLAY + "-Band: " + asked.band().name()
-                + "\r\n" + Calls.PLAY + "-Gateway: " + calls.gateway() + "\r\nContent-Type: application/sdp\r\nContent-Length: "
+                + session + "\r\n" + Calls.LEG + ": " + number + "\r\n" + Calls.BAND + ": " + asked.band().name()
+                + "\r\n" + Calls.GATEWAY + ": " + calls.gateway() + "\r\nContent-Type: application/sdp\r\nContent-Length: "
                 + offered().length() + "\r\n\r\n" + offered()), way, this);
         }
 
--- a/gateway/src/main/java/walnutfield/gateway/Calls.java
+++ b/gateway/src/main/java/walnutfield/gateway/Calls.java
@@ -39,6 +39,9 @@
 final class Calls implements SipNode.Receiver, Transactions.User, Plays.Prober, AutoCloseable {
     static final String ALLOW = "INVITE, ACK, CANCEL, BYE, OPTIONS, UPDATE";
     static final String PLAY = "Play-Id";
+    static final String LEG = "Play-Leg";
+    static final String BAND = "Play-Band";
+    static final String GATEWAY = "Play-Gateway";
     static final String INSTANCE = "Host-Instance";
     static final String SHARE = "Delivered-Share";
     private static final double MIN_SESSION_S = 90;   // RFC 4028, section 4
@@ -568,7 +571,7 @@
         String to = host.getHostString() + ":" + host.getPort();
         String own = via();
         send((SIPRequest) SipText.own("OPTIONS sip:" + to + " SIP/2.0\r\nVia: " + own + "\r\nMax-Forwards: 70\r\nFrom: <" + contact()
-            + ">;tag=o\r\nTo: <sip:" + to + ">\r\nCall-ID: " + name + ".o." + branch + "\r\nCSeq: 1 OPTIONS\r\n" + PLAY + "-Gateway: "
+            + ">;tag=o\r\nTo: <sip:" + to + ">\r\nCall-ID: " + name + ".o." + branch + "\r\nCSeq: 1 OPTIONS\r\n" + GATEWAY + ": "
             + gateway() + "\r\nContent-Length: 0\r\n\r\n"), way(host), who);
     }
 
--- a/sip/src/main/java/walnutfield/sip/ClientTransaction.java
+++ b/sip/src/main/java/walnutfield/sip/ClientTransaction.java
@@ -65,6 +65,9 @@
 
     private void again(double afterMs) {
         timers.in(afterMs, () -> {
+            if (cancels) {
+                return; // guards against a copy that gets to its host when another was sent the play
+            }
             boolean asks = state == State.CALLING || state == State.PROCEEDING && !invite();
             if (asks) {
                 count.again();
@@ -91,7 +94,10 @@
         over.run();
     }
 
-    /** True where a CANCEL may be sent now; else it is remembered until something is heard (section 9.1). */
+    /**
+     * True where a CANCEL may be sent now; else it is remembered until something is heard (section 9.1), and the request is
+     * not repeated meanwhile.
+     */
     boolean mayCancel() {
         cancels = state == State.CALLING;
         return state == State.PROCEEDING;
--- /dev/null
+++ b/standins/src/main/java/walnutfield/standin/SipThread.java
@@ -0,0 +1,40 @@
+package walnutfield.standin;
+
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import walnutfield.net.Clock;
+import walnutfield.sip.Timers;
+
+/** The one thread that drives stand-ins over SIP. */
+final class SipThread implements Timers.Runner {
+    private final ScheduledExecutorService timers;
+
+    SipThread(ScheduledExecutorService timers) {
+        this.timers = timers;
+    }
+
+    @Override
+    public double now() {
+        return Clock.now();
+    }
+
+    @Override
+    public void at(double time, Runnable what) {
+        try {
+            timers.schedule(() -> {
+                try {
+                    what.run();
+                } catch (RuntimeException e) {
+                    e.printStackTrace();
+                }
+            }, (long) (Math.max(0, time - now()) * 1000), TimeUnit.MICROSECONDS);
+        } catch (RejectedExecutionException e) {
+            // the day is over
+        }
+    }
+
+    void run(Runnable what) {
+        at(0, what);
+    }
+}
--- a/standins/src/main/java/walnutfield/standin/day/Rig.java
+++ b/standins/src/main/java/walnutfield/standin/day/Rig.java
@@ -9,6 +9,11 @@
     interface Running {
         int port();
 
+        /** Where calls go; 0 for nowhere. */
+        default int sipPort() {
+            return 0;
+        }
+
         /** Ends at once. */
         void kill() throws IOException;
 
