All copies of an INVITE fare alike; floods from one address cost no transactions; measure-calls

Fates remembers what became of a request, bounded. A flood of half-open calls is answered without transactions. A baseline that decides nothing and a load of calls for measurements.

--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -28,7 +28,7 @@
 /** The program: one subcommand for each way of running it. */
 @Command(name = "walnutfield", mixinStandardHelpOptions = true, version = Main.BUILD,
     description = "A session front: decides which media host takes each play and at what quality.",
-    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class, MeasureCommand.class, MeasureCommand.Bare.class, InsertsCommand.class, Tools.RecordCommand.class,
+    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class, MeasureCommand.class, MeasureCommand.Bare.class, CallsCommand.class, InsertsCommand.class, Tools.RecordCommand.class,
         Tools.ReplayCommand.class, Tools.CheckCommand.class, Tools.TraceCommand.class, Tools.WhatIfCommand.class,
         Main.SchemaCommand.class})
 public final class Main {
@@ -63,6 +63,9 @@
             description = "a schedule that is read again whenever the file changes, in place of the settings' own")
         private Path inserts;
 
+        @Option(names = "--fixed-host", hidden = true, description = "decides nothing: each play goes to the host listed first")
+        private boolean fixed;
+
         @Option(names = "--record-mb", defaultValue = "1024", description = "of a record at most (${DEFAULT-VALUE})")
         private long mostMb;
 
@@ -81,7 +84,7 @@
             new JvmMemoryMetrics().bindTo(registry);
             GatewayServer g = new GatewayServer(root.text("name"), Settings.front(root), Settings.sip(root), Settings.hosts(root),
                 Settings.list(root), Settings.catalogue(root, ladder, Settings.bands(root, ladder.kb().size())),
-                registry, registry::scrape, (out, beside) -> making.desk(out, beside, recorder));
+                registry, registry::scrape, (out, beside) -> fixed ? new FixedHost(out) : making.desk(out, beside, recorder));
             g.schedule(Settings.schedule(root));
             if (inserts != null) {
                 new Watched(inserts, Settings.bands(root, ladder.kb().size()), g::schedule).start();
--- a/app/src/main/java/walnutfield/app/MeasureCommand.java
+++ b/app/src/main/java/walnutfield/app/MeasureCommand.java
@@ -91,54 +91,6 @@
         }
     }
 
-    /** Another process of this program, until it is closed. */
-    private static final class Child implements AutoCloseable {
-        private final Process process;
-        final InetSocketAddress at;
-
-        Child(List<String> options, String... args) throws IOException {
-            List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString()));
-            command.addAll(options);
-            command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName()));
-            command.addAll(List.of(args));
-            process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
-            BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
-                StandardCharsets.UTF_8));
-            String line = out.readLine();
-            if (line == null || !line.startsWith("listening on ")) {
-                process.destroyForcibly();
-                throw new IOException("the process did not start: " + line);
-            }
-            at = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
-        }
-
-        /** Heap in use after a full collection, by the JDK's own tool. */
-        long heapKb() throws IOException {
-            Path jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd");
-            tool(jcmd, "GC.run");
-            Matcher m = Pattern.compile("used ([0-9]+)K").matcher(tool(jcmd, "GC.heap_info"));
-            long sum = 0;
-            while (m.find()) {
-                sum += Long.parseLong(m.group(1));
-            }
-            return sum;
-        }
-
-        private String tool(Path jcmd, String what) throws IOException {
-            Process p = new ProcessBuilder(jcmd.toString(), Long.toString(process.pid()), what).redirectErrorStream(true)
-                .start();
-            String said = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-            int heap = said.indexOf("Metaspace");
-            return heap < 0 ? said : said.substring(0, heap);
-        }
-
-        @Override
-        public void close() {
-            process.destroyForcibly();
-        }
-    }
-
     private record Times(double perS, Histogram us, long bad) { }
 
     @Override
@@ -223,7 +175,7 @@
         return c;
     }
 
-    private static String settings(int fleet, int listPort) {
+    static String settings(int fleet, int listPort) {
         StringBuilder titles = new StringBuilder();
         for (int i = 1; i <= TITLES; i++) {
             titles.append("<title id='").append(i).append("' first-cell='").append(i * 7 % fleet).append("' holders='")
--- a/app/src/test/java/walnutfield/app/ArrowsTest.java
+++ b/app/src/test/java/walnutfield/app/ArrowsTest.java
@@ -38,9 +38,15 @@
 
     @ArchTest
     static final ArchRule FORMATS_OPEN_NO_SOCKETS = noClasses().that().resideInAnyPackage("walnutfield.hls..",
-        "walnutfield.sse..", "walnutfield.orca..", "walnutfield.hosts..").should().dependOnClassesThat()
+        "walnutfield.sse..", "walnutfield.orca..", "walnutfield.hosts..", "walnutfield.sip..").should().dependOnClassesThat()
         .resideInAnyPackage("walnutfield.net..", "org.glassfish..", "java.nio.channels..", "java.nio.file..", "javax.net..");
 
+    /** Transactions and dialogs take their time from outside. */
+    @ArchTest
+    static final ArchRule SIP_HAS_NO_CLOCK = noClasses().that().resideInAPackage("walnutfield.sip..").should()
+        .dependOnClassesThat().resideInAnyPackage("java.util.concurrent..", "java.time..", "walnutfield.net..",
+            "walnutfield.gateway..", "walnutfield.play..");
+
     @ArchTest
     static final ArchRule RECORDS_KNOW_NO_GATEWAY = noClasses().that().resideInAPackage("walnutfield.record..")
         .should().dependOnClassesThat().resideInAnyPackage("walnutfield.gateway..", "walnutfield.standin..",
--- a/app/src/test/java/walnutfield/app/HardDaysTest.java
+++ b/app/src/test/java/walnutfield/app/HardDaysTest.java
@@ -34,4 +34,26 @@
         assertTrue(o.verdicts().get(rule).checked() > 0, o.verdicts().get(rule).rule() + " had nothing to check");
         assertTrue(o.plays().get("served") > 10, o.plays().toString());
     }
+
+    /** The same for calls over datagrams that are lost, doubled and late; viewers beside them in the last. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "1.0 | <fault kind='dead' at-s='2' for-s='1.5' first='1'/><fault kind='standing' at-s='3' for-s='1' first='0'/> | 3",
+        "0.5 | <fault kind='failing' at-s='0.5' for-s='4' count='2' amount='0.8'/><fault kind='drain' at-s='1' for-s='2' first='2' amount='500'/> | 5"})
+    void everyRuleIsKeptByCalls(String part, String fault, int rule) throws Exception {
+        String text = Files.readString(Path.of("..", "rehearsals", "short.xml"))
+            .replaceAll("seconds=\"12\"", "seconds=\"5\"").replaceAll("per-s=\"12\"", "per-s=\"20\"")
+            .replaceAll("list-late-ms=\"500\"", "list-late-ms=\"200\"")
+            .replace("<front/>", "<sip t1-ms=\"100\" probes=\"true\"/><front/>")
+            .replaceAll("(?s)<faults>.*</faults>", "<calls part='" + part + "' mean-s='2' loss='0.05' twice='0.05' late-ms='20'/><faults>"
+                + fault + "</faults>");
+        Script script = new Script(Xml.parse("day.xml", text, "day"), new Script.Instead(7L, 2, 4));
+        Rehearsal.Outcome o = new Rehearsal(script.day(), script.rig(null)).run();
+        for (Verdict v : o.verdicts()) {
+            assertEquals(List.of(), v.broken(), v.rule());
+        }
+        assertTrue(o.verdicts().get(rule).checked() > 0, o.verdicts().get(rule).rule() + " had nothing to check");
+        assertTrue(o.callers().get(3) > 20, "final answers of calls: " + o.callers());
+        assertTrue(o.plays().get("served") > 10, o.plays().toString());
+    }
 }
--- a/core/src/main/java/walnutfield/desk/Desk.java
+++ b/core/src/main/java/walnutfield/desk/Desk.java
@@ -24,7 +24,7 @@
  * decides. The same calls at the same times give the same results, wherever the desk stands. It holds no clock,
  * thread or I/O, and is to be used by one thread at a time.
  */
-public final class Desk {
+public final class Desk implements Taker {
     private final Director director;
     private final Gateway out;
     private final Carrier carrier;
@@ -65,6 +65,7 @@
      *
      * @param time when it happened, in ms; never before that of the call before
      */
+    @Override
     public void take(double time, Call call) {
         now = time;
         if (listener != null) {
--- /dev/null
+++ b/core/src/main/java/walnutfield/desk/Taker.java
@@ -0,0 +1,9 @@
+package walnutfield.desk;
+
+/** Takes what happens at one gateway; what is to be done comes to the gateway that it was made with. */
+public interface Taker {
+    /**
+     * @param time never less than that of the call before, in ms
+     */
+    void take(double time, Call call);
+}
--- a/gateway/src/main/java/walnutfield/gateway/Calls.java
+++ b/gateway/src/main/java/walnutfield/gateway/Calls.java
@@ -85,6 +85,7 @@
     private final Map<String, CallViewing> hosted = new HashMap<>();          // by the host's Call-ID; emptied as calls leave it
     private final Map<InetSocketAddress, HostWatch> watches = new HashMap<>(); // emptied with the last call there
     private final Map<InetAddress, Integer> halfOpen = new HashMap<>();       // emptied as INVITEs are answered and acknowledged
+    private final Fates fates = new Fates();
     private Plays plays;
     private Admission admission;
     private int port;
@@ -123,6 +124,10 @@
         admission = door;
     }
 
+    long repeats() {
+        return transactions.repeats();
+    }
+
     Plays plays() {
         return plays;
     }
@@ -181,12 +186,21 @@
         if (!first) { // of what is open there is only so much
             thread.post(() -> transactions.received(m, from));
         } else {
-            admission.take(new Untaken((SIPRequest) m, from), at, () -> transactions.received(m, from));
+            SIPRequest request = (SIPRequest) m;
+            String key = Transactions.key(request);
+            Untaken asker = new Untaken(request, from, key, fates);
+            admission.take(asker, at, () -> {
+                if (isCrowded(request, from) && fates.turnAway(key) || !fates.take(key)) {
+                    admission.turnAway(asker);
+                } else {
+                    transactions.received(m, from);
+                }
+            });
         }
     }
 
     /** A request that did not get to the desk's thread: answered without a transaction (RFC 3261, section 8.2.7). */
-    private record Untaken(SIPRequest request, Flow from) implements Asker {
+    private record Untaken(SIPRequest request, Flow from, String key, Fates fates) implements Asker {
         @Override
         public boolean isDone() {
             return false;
@@ -202,6 +216,9 @@
 
         @Override
         public void refuse(int status, String play, double holdOffMs) {
+            if (!fates.turnAway(key)) {
+                return; // a copy of it was taken, and is answered
+            }
             SIPResponse r = Transactions.response(request, status, "untaken");
             SipText.add(r, "Retry-After", Long.toString((long) Math.ceil(holdOffMs / 1000)));
             from.send(SipText.write(r));
@@ -243,11 +260,6 @@
     private void wish(ServerTransaction t) {
         SIPRequest r = t.request();
         count(false);
-        InetAddress from = t.flow().remote().getAddress();
-        if (halfOpen.getOrDefault(from, 0) >= terms.halfOpen()) { // guards against one address that holds everything half open
-            refuse(t, 503, "Retry-After", Integer.toString(1));
-            return;
-        }
         String require = SipText.field(r, "Require");
         if (require != null && !require.equalsIgnoreCase("timer")) {
             refuse(t, 420, "Unsupported", require);
@@ -282,7 +294,7 @@
         Viewing.Key key = new Viewing.Key(CallViewing.FRONT, wish.viewer(), title);
         CallAsker asker = new CallAsker(this, t, key, tag());
         asking.put(t, asker);
-        halfOpen.merge(from, 1, Integer::sum);
+        halfOpen.merge(t.flow().remote().getAddress(), 1, Integer::sum);
         double at = thread.now();
         plays.asked(asker, key, at, () -> {
             CallViewing v = new CallViewing(this, wish, offer, at);
@@ -348,6 +360,14 @@
         }
     }
 
+    /**
+     * Guards against one address that holds everything half open: what it sends beyond its part is answered without a
+     * transaction, so that it costs neither memory nor copies of the answer. It harms many callers behind one address.
+     */
+    private boolean isCrowded(SIPRequest r, Flow from) {
+        return r.getMethod().equals("INVITE") && halfOpen.getOrDefault(from.remote().getAddress(), 0) >= terms.halfOpen();
+    }
+
     private void closed(InetAddress from) {
         halfOpen.computeIfPresent(from, (k, n) -> n > 1 ? n - 1 : null);
     }
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -12,7 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import walnutfield.desk.Carrier;
-import walnutfield.desk.Desk;
+import walnutfield.desk.Taker;
 import walnutfield.net.Client;
 import walnutfield.net.Clock;
 import walnutfield.net.Server;
@@ -27,7 +27,7 @@
 
     /** Makes a gateway's desk, given where its results go. */
     public interface DeskMaker {
-        Desk make(Gateway out, Carrier beside);
+        Taker make(Gateway out, Carrier beside);
     }
 
     private final String name;
@@ -81,6 +81,9 @@
             return t;
         });
         sweeper.scheduleWithFixedDelay(admission::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        if (calls != null) {
+            figures.gauge("sip.repeats", calls::repeats);
+        }
         figures.gauge("plays.open", plays::playing);
         figures.gauge("desk.queue", thread::waiting);
         figures.gauge("connections", server::connections);
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -12,7 +12,7 @@
 import org.slf4j.LoggerFactory;
 import walnutfield.desk.Call;
 import walnutfield.desk.Carrier;
-import walnutfield.desk.Desk;
+import walnutfield.desk.Taker;
 import walnutfield.gateway.Viewing.Came;
 import walnutfield.gateway.Viewing.Phase;
 import walnutfield.play.Gateway;
@@ -40,7 +40,7 @@
     private final Terms.Front front;
     private final Terms.Hosts hostTerms;
     private final String name;
-    private final Desk desk;
+    private final Taker desk;
     private final Prober prober;
     private final Figures figures;
     private final Map<Viewing.Key, Viewing> open = new HashMap<>();      // emptied as viewings end
--- a/gateway/src/test/java/walnutfield/gateway/CallsTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/CallsTest.java
@@ -399,6 +399,45 @@
         assertEquals("b", leg().invite().m() == null ? "" : "b");
     }
 
+    /** The desk's thread stands while copies of one INVITE come: all are told the same, and none is taken afterwards. */
+    @Test
+    void copiesOfAnInviteThatWasTurnedAwayAreTurnedAwayToo() throws Exception {
+        up(1, 100, 100);
+        o.gateway.stall(1800);
+        String invite = caller.invite("a", "free", 1);
+        for (int i = 0; i < 6; i++) {
+            caller.send(invite);
+            assertFalse(caller.hears("200", 200));
+        }
+        caller.next("503");
+        assertFalse(caller.hears("100", 1500));
+        assertEquals(0, o.calls.stream().filter(c -> c.startsWith("WishTaken")).count());
+    }
+
+    /** Ten thousand from one address, none acknowledged: its part is taken, the rest told to come later, and others are served. */
+    @Test
+    void aFloodOfHalfOpenCallsIsTurnedAway() throws Exception {
+        up(1, 200, 20);
+        for (int i = 0; i < 10_000; i++) {
+            caller.send(caller.invite("a" + i, "free", 1000 + i));
+            if (i % 50 == 49) {
+                Thread.sleep(1); // what the socket drops was never asked
+            }
+        }
+        for (int i = 0; !caller.hears("200 OPTIONS", 200); i++) { // once the queue is empty again
+            assertTrue(i < 100);
+            caller.send(caller.request("OPTIONS", "o" + i, 1, "sip:gw", 1, "", "", ""));
+        }
+        var viewer = o.ask("free", 5);
+        Came first = leg().invite();
+        assertTrue(first.request().getFrom().toString().contains("sip:gw"), "its part came first");
+        Outside.Came hls = o.next("POST /S");
+        o.serve(hls);
+        assertEquals(200, Outside.of(viewer).statusCode());
+        long taken = o.calls.stream().filter(c -> c.startsWith("WishTaken")).count();
+        assertTrue(taken > 20 && taken < 2000, "those that the module shed make room, but few of all get to it: " + taken);
+    }
+
     @Test
     void aCallerWhoDoesNotRefreshItsSessionIsToldHow() throws Exception {
         up(1, 200, 100);
--- a/sip/src/main/java/walnutfield/sip/Transactions.java
+++ b/sip/src/main/java/walnutfield/sip/Transactions.java
@@ -29,7 +29,7 @@
 
     /** Messages sent more than once. */
     static final class Count {
-        private long again;
+        private volatile long again; // written by the one thread only
 
         void again() {
             again++;
@@ -56,7 +56,12 @@
         return clients.size() + servers.size();
     }
 
-    /** Messages sent more than once so far. */
+    /** What all copies of a request have in common, and no other request has (section 17.2.3). */
+    public static String key(SIPRequest r) {
+        return serverKey(r, r.getMethod());
+    }
+
+    /** Messages sent more than once so far; any thread may ask. */
     public long repeats() {
         return count.again;
     }
