--- a/gateway/src/main/java/walnutfield/gateway/CallViewing.java
+++ b/gateway/src/main/java/walnutfield/gateway/CallViewing.java
@@ -24,6 +24,7 @@
 
     private final Calls calls;
     private final Sdp offer;
+    private final int hops;      // that are left to what goes on from here (RFC 7332)
     private final List<Calls.Caller> callers = new ArrayList<>(); // emptied as they hang up
     private Dialog dialog;       // with the host; null while there is none
     private String callId;       // of that dialog
@@ -31,8 +32,9 @@
     private String description;  // the host's, as last answered
     private boolean listening;
 
-    CallViewing(Calls calls, Asked asked, Sdp offer, double takenAt) {
+    CallViewing(Calls calls, Asked asked, Sdp offer, int hops, double takenAt) {
         super(asked, takenAt);
+        this.hops = hops;
         this.calls = calls;
         this.offer = offer;
     }
@@ -89,7 +91,7 @@
             way = calls.way(address);
             String host = address.getHostString() + ":" + address.getPort();
             invite = calls.send((SIPRequest) SipText.own("INVITE sip:" + asked.title().value() + "@" + host + " SIP/2.0\r\nVia: "
-                + calls.via() + "\r\nMax-Forwards: 70\r\nFrom: <sip:" + calls.name + "@" + calls.at() + ">;tag=" + session + "."
+                + calls.via() + "\r\nMax-Forwards: " + hops + "\r\nFrom: <sip:" + calls.name + "@" + calls.at() + ">;tag=" + session + "."
                 + number + "\r\nTo: <sip:" + asked.title().value() + "@" + host + ">\r\nCall-ID: " + session + "." + number
                 + "\r\nCSeq: 1 INVITE\r\nContact: <" + calls.contact() + ">\r\nAllow: " + Calls.ALLOW + "\r\n" + Calls.PLAY + ": "
                 + session + "\r\n" + Calls.LEG + ": " + number + "\r\n" + Calls.BAND + ": " + asked.band().name()
--- a/gateway/src/main/java/walnutfield/gateway/Calls.java
+++ b/gateway/src/main/java/walnutfield/gateway/Calls.java
@@ -296,8 +296,9 @@
         asking.put(t, asker);
         halfOpen.merge(t.flow().remote().getAddress(), 1, Integer::sum);
         double at = thread.now();
+        int hops = r.getMaxForwards() == null ? 70 : Math.max(0, r.getMaxForwards().getMaxForwards() - 1);
         plays.asked(asker, key, at, () -> {
-            CallViewing v = new CallViewing(this, wish, offer, at);
+            CallViewing v = new CallViewing(this, wish, offer, hops, at);
             open.put(key, v);
             return v;
         });
--- a/gateway/src/test/java/walnutfield/gateway/CallsTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/CallsTest.java
@@ -373,6 +373,41 @@
         assertEquals(0, o.calls.stream().filter(c -> c.startsWith("WishTaken")).count());
     }
 
+    /** A host that leads back here would else be called without end (RFC 7332). */
+    @Test
+    void hopsAreCountedThroughTheGateway() throws Exception {
+        up(1, 200, 100);
+        caller.send(caller.invite("a", "free", 1).replace("Max-Forwards: 70", "Max-Forwards: 5"));
+        assertEquals(4, leg().invite().request().getMaxForwards().getMaxForwards());
+    }
+
+    /** Before it was told to come again, again and again: each try has its answer, and the hosts notice little. */
+    @Test
+    void aCallerThatHammersGetsAnAnswerEachTime() throws Exception {
+        up(1, 200, 100);
+        caller.send(caller.invite("a", "free", 1));
+        Leg l = leg();
+        l.host().answer(l.invite(), 503, null, null, "");
+        l.host().next("ACK");
+        caller.next("503");
+        int answers = 0;
+        for (int i = 0; i < 30; i++) {
+            caller.send(caller.invite("b" + i, "free", 1));
+            Came c = caller.came.poll(20, java.util.concurrent.TimeUnit.MILLISECONDS);
+            for (; c != null; c = caller.came.poll(20, java.util.concurrent.TimeUnit.MILLISECONDS)) {
+                answers += c.what().equals("503 INVITE") ? 1 : 0;
+            }
+            Came leg = l.host().came.poll();
+            if (leg != null && leg.what().equals("INVITE")) {
+                l.host().answer(leg, 503, null, null, "");
+            }
+        }
+        while (caller.hears("503", 300)) {
+            answers++;
+        }
+        assertTrue(answers >= 20, "answers: " + answers);
+    }
+
     @Test
     void aCallerWithoutTheRateGetsALowerRung() throws Exception {
         up(1, 200, 100);
