--- a/app/src/main/java/walnutfield/app/CallsCommand.java
+++ b/app/src/main/java/walnutfield/app/CallsCommand.java
@@ -89,7 +89,7 @@
         Auditor auditor = new Auditor(new Rules(bands, new LegTerms(4, 5, 0.2, 10_000), cold, 2000, 150));
         HostTerms terms = new HostTerms(ladder, bands, cold, List.of(), 0, 0, 0, 500, 0, 500, 0, 1, 10, 0, 600_000, Map.of());
         try (ListService list = new ListService(auditor); MediaHosts hosts = new MediaHosts(plans, terms, 1, auditor);
-             SipHosts sip = new SipHosts(hosts, T1_MS, sky, 2, auditor); CallLoad load = new CallLoad(T1_MS, sky, 3)) {
+             SipHosts sip = new SipHosts(hosts, T1_MS, sky, 2, auditor); CallLoad load = new CallLoad(MeasureCommand.TITLES, T1_MS, sky, 3)) {
             for (HostPlan p : hosts.plans()) {
                 list.publish(new HostEntry(new HostLine(new HostId(p.name()), new PlaceId(p.place()), p.slots(), p.cell(),
                     HostLine.Standing.READY, 1, 0), new InetSocketAddress("127.0.0.1", hosts.port(p.name()))));
@@ -125,9 +125,9 @@
                 load.hold(at, held);
                 Thread.sleep(SETTLE_MS);
                 long two = child.heapKb();
-                say(String.format(Locale.ROOT, "%5d  %-10s %9.0f %8.2f %8.2f %8.1f %11d", fleet, what, perS,
+                say(String.format(Locale.ROOT, "%5d  %-10s %9.0f %8.2f %8.2f %8.1f  %d %s", fleet, what, perS,
                     us.getValueAtPercentile(50) / 1000.0, us.getValueAtPercentile(99) / 1000.0, (two - one) / (double) held,
-                    load.notServed()));
+                    load.notServed(), load.refusals()));
             }
         }
     }
--- a/app/src/main/java/walnutfield/app/MeasureCommand.java
+++ b/app/src/main/java/walnutfield/app/MeasureCommand.java
@@ -55,7 +55,7 @@
 @Command(name = "measure", mixinStandardHelpOptions = true,
     description = "Set-ups a second and added time of a gateway against a bare server, in one run (simulated hosts).")
 final class MeasureCommand implements Callable<Integer> {
-    private static final int TITLES = 200;
+    static final int TITLES = 200;
     private static final int IN_FLIGHT = 32;
     private static final long WORST_US = 60_000_000;
 
