Results of growing programmes and calls; one fleet for measurements, one thread for stand-ins

What the two measuring commands set up alike is MeasuredFleet, what viewers and callers are driven by StandinThread.

--- a/app/src/main/java/walnutfield/app/CallsCommand.java
+++ b/app/src/main/java/walnutfield/app/CallsCommand.java
@@ -4,33 +4,18 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import walnutfield.hosts.HostEntry;
-import walnutfield.play.Band;
-import walnutfield.play.ColdTerms;
-import walnutfield.play.HostId;
-import walnutfield.play.HostLine;
-import walnutfield.play.Ladder;
-import walnutfield.play.LegTerms;
-import walnutfield.play.PlaceId;
 import walnutfield.standin.CallLoad;
-import walnutfield.standin.HostPlan;
-import walnutfield.standin.HostTerms;
 import walnutfield.standin.ListService;
 import walnutfield.standin.MediaHosts;
 import walnutfield.standin.SipHosts;
 import walnutfield.standin.Weather;
-import walnutfield.standin.audit.Auditor;
-import walnutfield.standin.audit.Rules;
 
 /** Calls a second, post-dial delay and memory of the front for calls, and of the same front that decides nothing. */
 @Command(name = "measure-calls", mixinStandardHelpOptions = true,
@@ -78,22 +63,10 @@
     }
 
     private void run(Path dir, int fleet, String what, boolean fixed, Weather.Sky sky) throws Exception {
-        Ladder ladder = new Ladder(List.of(90.0, 200.0, 400.0, 800.0), List.of(0.22, 0.5, 0.8, 1.0), 7);
-        Map<String, Band> bands = new LinkedHashMap<>();
-        bands.put("b", new Band("b", 1000, 5000, 1, false, 1, 0, 3, 0));
-        ColdTerms cold = new ColdTerms(1, 0, 3, 2000);
-        List<HostPlan> plans = new ArrayList<>();
-        for (int i = 0; i < fleet; i++) {
-            plans.add(new HostPlan("h" + i, "here", i, 0, 1e9, 1_000_000, 1));
-        }
-        Auditor auditor = new Auditor(new Rules(bands, new LegTerms(4, 5, 0.2, 10_000), cold, 2000, 150));
-        HostTerms terms = new HostTerms(ladder, bands, cold, List.of(), 0, 0, 0, 500, 0, 500, 0, 1, 10, 0, 600_000, Map.of());
-        try (ListService list = new ListService(auditor); MediaHosts hosts = new MediaHosts(plans, terms, 1, auditor);
-             SipHosts sip = new SipHosts(hosts, T1_MS, sky, 2, auditor); CallLoad load = new CallLoad(MeasureCommand.TITLES, T1_MS, sky, 3)) {
-            for (HostPlan p : hosts.plans()) {
-                list.publish(new HostEntry(new HostLine(new HostId(p.name()), new PlaceId(p.place()), p.slots(), p.cell(),
-                    HostLine.Standing.READY, 1, 0), new InetSocketAddress("127.0.0.1", hosts.port(p.name()))));
-            }
+        MeasuredFleet all = new MeasuredFleet(fleet);
+        try (ListService list = new ListService(all.auditor); MediaHosts hosts = all.hosts(600_000);
+             SipHosts sip = new SipHosts(hosts, T1_MS, sky, 2, all.auditor); CallLoad load = new CallLoad(MeasureCommand.TITLES, T1_MS, sky, 3)) {
+            MeasuredFleet.publish(hosts, list);
             Path config = dir.resolve("gateway.xml");
             Files.writeString(config, MeasureCommand.settings(fleet, list.port()).replace("<front ",
                 "<sip half-open='1000000' t1-ms='" + T1_MS + "'/><front "));
--- a/app/src/main/java/walnutfield/app/MeasureCommand.java
+++ b/app/src/main/java/walnutfield/app/MeasureCommand.java
@@ -1,15 +1,10 @@
 package walnutfield.app;
 
 import ch.qos.logback.classic.Level;
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -26,7 +21,6 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import walnutfield.hosts.HostEntry;
 import walnutfield.net.Client;
 import walnutfield.net.Clock;
 import walnutfield.net.Headers;
@@ -34,19 +28,8 @@
 import walnutfield.net.Request;
 import walnutfield.net.Server;
 import walnutfield.net.WholeAnswer;
-import walnutfield.play.Band;
-import walnutfield.play.ColdTerms;
-import walnutfield.play.HostId;
-import walnutfield.play.HostLine;
-import walnutfield.play.Ladder;
-import walnutfield.play.LegTerms;
-import walnutfield.play.PlaceId;
-import walnutfield.standin.HostPlan;
-import walnutfield.standin.HostTerms;
 import walnutfield.standin.ListService;
 import walnutfield.standin.MediaHosts;
-import walnutfield.standin.audit.Auditor;
-import walnutfield.standin.audit.Rules;
 
 /**
  * Measures a gateway in a process of its own against a bare server that answers the same playlist without a
@@ -127,21 +110,12 @@
 
     private Times gateway(Client client, int fleet, Path dir, StringBuilder out, StringBuilder more, boolean record)
         throws Exception {
-        Ladder ladder = new Ladder(List.of(90.0, 200.0, 400.0, 800.0), List.of(0.22, 0.5, 0.8, 1.0), 7);
-        Map<String, Band> bands = new LinkedHashMap<>();
-        bands.put("b", new Band("b", 1000, 5000, 1, false, 1, 0, 3, 0));
-        ColdTerms cold = new ColdTerms(1, 0, 3, 2000);
-        List<HostPlan> plans = new ArrayList<>();
-        for (int i = 0; i < fleet; i++) {
-            plans.add(new HostPlan("h" + i, "here", i, 0, 1e9, 1_000_000, 1));
-        }
-        Auditor auditor = new Auditor(new Rules(bands, new LegTerms(4, 5, 0.2, 10_000), cold, 2000, 150));
-        HostTerms terms = new HostTerms(ladder, bands, cold, List.of(), 0, 0, 0, 500, 0, 500, 0, 1, 10, 0, 1000, Map.of());
-        try (ListService list = new ListService(auditor)) {
+        MeasuredFleet all = new MeasuredFleet(fleet);
+        try (ListService list = new ListService(all.auditor)) {
             Path config = dir.resolve("gateway-" + fleet + ".xml");
             Files.writeString(config, settings(fleet, list.port()));
             Times taken;
-            try (MediaHosts hosts = new MediaHosts(plans, terms, 1, auditor);
+            try (MediaHosts hosts = all.hosts(1000);
                  Child child = child(config, hosts, list, record ? dir.resolve(fleet + ".record") : null)) {
                 taken = times(client, child.at, fleet, record ? "recorded" : "gateway", out);
                 if (record) {
@@ -149,8 +123,7 @@
                 }
                 more.append(fleet).append(" hosts: ").append(parts(client, child.at)).append('\n');
             }
-            HostTerms long1 = new HostTerms(ladder, bands, cold, List.of(), 0, 0, 0, 500, 0, 500, 0, 1, 10, 0, 600_000, Map.of());
-            try (MediaHosts hosts = new MediaHosts(plans, long1, 1, auditor);
+            try (MediaHosts hosts = all.hosts(600_000);
                  Child child = child(config, hosts, list, null)) {
                 hold(client, child.at, held);
                 long before = child.heapKb();
@@ -164,10 +137,7 @@
     }
 
     private Child child(Path config, MediaHosts hosts, ListService list, Path record) throws Exception {
-        for (HostPlan p : hosts.plans()) {
-            list.publish(new HostEntry(new HostLine(new HostId(p.name()), new PlaceId(p.place()), p.slots(), p.cell(),
-                HostLine.Standing.READY, 1, 0), new InetSocketAddress("127.0.0.1", hosts.port(p.name()))));
-        }
+        MeasuredFleet.publish(hosts, list);
         Child c = new Child(List.of("-Xmx1g", "-XX:+UseSerialGC"), record == null
             ? new String[] {"gateway", config.toString()}
             : new String[] {"gateway", config.toString(), "--record", record.toString()});
--- a/standins/src/main/java/walnutfield/standin/CallLoad.java
+++ b/standins/src/main/java/walnutfield/standin/CallLoad.java
@@ -29,7 +29,7 @@
 public final class CallLoad implements AutoCloseable {
     private final int titles;
     private final ScheduledExecutorService timers;
-    private final SipThread thread;
+    private final StandinThread thread;
     private final Transactions transactions;
     private final SipNode node;
     private final Weather weather;
@@ -53,7 +53,7 @@
             t.setDaemon(true);
             return t;
         });
-        thread = new SipThread(timers);
+        thread = new StandinThread(timers);
         weather = new Weather(sky, seed, timers);
         transactions = new Transactions(new Timers(t1Ms, 8 * t1Ms, 10 * t1Ms, thread), new Transactions.User() {
             @Override
--- a/standins/src/main/java/walnutfield/standin/Callers.java
+++ b/standins/src/main/java/walnutfield/standin/Callers.java
@@ -46,7 +46,7 @@
     private final Supplier<Viewers.Gate> gates;
     private final SplittableRandom random;
     private final ScheduledExecutorService timers;
-    private final SipThread thread;
+    private final StandinThread thread;
     private final Weather weather;
     private final Transactions transactions;
     private final SipNode node;
@@ -121,7 +121,7 @@
             t.setDaemon(true);
             return t;
         });
-        thread = new SipThread(timers);
+        thread = new StandinThread(timers);
         weather = new Weather(sky, seed + 1, timers);
         transactions = new Transactions(new Timers(t1Ms, 8 * t1Ms, 10 * t1Ms, thread), this);
         node = new SipNode("callers", 10_000, new SipNode.Receiver() {
--- a/standins/src/main/java/walnutfield/standin/SipHosts.java
+++ b/standins/src/main/java/walnutfield/standin/SipHosts.java
@@ -173,7 +173,7 @@
     private double arrived;      // what is taken up just now, at its socket
     private final Auditor auditor;
     private final Weather weather;
-    private final SipThread thread;
+    private final StandinThread thread;
     private final ScheduledExecutorService timers;
     private final SipNode node;
     private final Map<Integer, MediaHosts.Door> doors = new HashMap<>();
@@ -189,7 +189,7 @@
             t.setDaemon(true);
             return t;
         });
-        thread = new SipThread(timers);
+        thread = new StandinThread(timers);
         weather = new Weather(sky, seed, timers);
         node = new SipNode("sip-hosts", 1, new SipNode.Receiver() {
             @Override
--- a/standins/src/main/java/walnutfield/standin/SipThread.java
+++ b/standins/src/main/java/walnutfield/standin/StandinThread.java
@@ -6,11 +6,11 @@
 import walnutfield.net.Clock;
 import walnutfield.sip.Timers;
 
-/** The one thread that drives stand-ins over SIP. */
-final class SipThread implements Timers.Runner {
+/** The one thread that drives viewers, callers or the hosts of calls; what goes wrong in one thing leaves the others. */
+final class StandinThread implements Timers.Runner {
     private final ScheduledExecutorService timers;
 
-    SipThread(ScheduledExecutorService timers) {
+    StandinThread(ScheduledExecutorService timers) {
         this.timers = timers;
     }
 
--- a/standins/src/main/java/walnutfield/standin/Viewers.java
+++ b/standins/src/main/java/walnutfield/standin/Viewers.java
@@ -8,7 +8,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -40,6 +39,7 @@
     private final Habits habits;
     private final Client client;
     private final ScheduledExecutorService timers;
+    private final StandinThread thread;
     private final SplittableRandom random;
     private final Supplier<Gate> gates;
     private final AtomicLong requests = new AtomicLong();
@@ -66,6 +66,7 @@
             t.setDaemon(true);
             return t;
         });
+        thread = new StandinThread(timers);
     }
 
     /** A new viewer comes. */
@@ -116,17 +117,7 @@
     }
 
     private void later(double ms, Runnable what) {
-        try {
-            timers.schedule(() -> {
-                try {
-                    what.run();
-                } catch (RuntimeException e) {
-                    e.printStackTrace();
-                }
-            }, (long) (ms * 1000), TimeUnit.MICROSECONDS);
-        } catch (java.util.concurrent.RejectedExecutionException e) {
-            // the rehearsal is over
-        }
+        thread.at(Clock.now() + ms, what);
     }
 
     @Override
