--- a/standins/src/main/java/walnutfield/standin/MediaHosts.java
+++ b/standins/src/main/java/walnutfield/standin/MediaHosts.java
@@ -41,6 +41,8 @@
     private static final double BEAT_MS = 500;
     private static final double STREAMLESS_MS = 2_000; // a session that no gateway listens to ends after this
     private static final double SHORT = 0.98;
+    private static final int REBINDS = 100;
+    private static final long REBIND_NS = 20_000_000;
     private static final int PACKET = 188; // a transport stream packet: segments are tiny
 
     /** One session on a host. */
@@ -286,7 +288,17 @@
                 return;
             }
         }
-        server.bind(h.port); // what comes before it is up is aborted
+        for (int tries = 0;; tries++) { // what comes before it is up is aborted
+            try {
+                server.bind(h.port);
+                break;
+            } catch (java.net.BindException e) { // the port of before is let go by another thread
+                if (tries == REBINDS) {
+                    throw e;
+                }
+                java.util.concurrent.locks.LockSupport.parkNanos(REBIND_NS);
+            }
+        }
         synchronized (this) {
             byPort.put(h.port, h);
             h.up = true;
