--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -37,8 +37,8 @@
     private static final double HEARD_LEAST = 0.01; // a figure of less weight tells nothing of the average
     private static final double SELF = 0.3;         // weight of what own plays tell of the average
     private static final double FEW = 10;           // own plays that tell as much of the fleet as a guess
-    private static final double SPREAD = 0.3;       // use that an unheard host may have over the average
-    private static final double UNSURE = 0.30;      // and that a new play's rung allows for there
+    private static final double LEAST_SPARE = 0.01; // no holder's odds of being drawn are by less
+    private static final double UNSURE = 0.30;      // use over the guess that a new play's rung allows for
     private static final double PROBE_PRICE = 0.02; // a play earns a probe at this price, more where cheaper
     private static final double PROBES_SAVED = 4;   // and a gateway saves so many
     private static final double ASK_MS = 60;        // a play waits so long for a probe
@@ -504,12 +504,12 @@
         return true;
     }
 
-    /** The holder with the best score; a suspect before its time only where there is no other. Exception: the
-     *  less is known of a host, the more use is added by chance, so that gateways that know nothing of equal
-     *  hosts spread over them. */
+    /** The holder with the best score; a suspect before its time only where there is no other. Exception: of
+     *  the holders that no fresh figure tells of only one counts, drawn at odds by its spare rate. Guards against
+     *  gateways that know nothing of many hosts and would all take the largest; it harms where a guess tells well. */
     private Host best(Play p, double now, Host not) {
-        Host best = null;
-        double most = Double.NEGATIVE_INFINITY;
+        Host best = null, drawn = null;
+        double most = Double.NEGATIVE_INFINITY, soonest = Double.POSITIVE_INFINITY, drawnScore = 0;
         for (Host h : fleet.holders(p.wish.firstCell(), p.wish.holders())) {
             boolean doubted = h.suspect && now < h.retryAt + LAPSE_MS;
             String why = h == not ? "left" : !h.ready() ? "not ready" : p.tried.contains(h) ? "tried"
@@ -520,15 +520,25 @@
                 weighed(p, h, why, Double.NaN, now);
                 continue;
             }
-            double score = score(h, SPREAD * unsure(), now);
-            score -= doubted && now < h.retryAt || h.probeOut && now - h.probedAt >= ASK_MS ? LAST_RESORT : 0;
+            double score = score(h, now);
+            boolean last = doubted && now < h.retryAt || h.probeOut && now - h.probedAt >= ASK_MS;
             weighed(p, h, null, score, now);
+            if (!last && h.link.weight(FADE_MS, now) < SURE && post.gateways() > 1) {
+                double turn = -Math.log(1 - chance.next()) / Math.max(LEAST_SPARE, score);
+                if (turn < soonest) {
+                    soonest = turn;
+                    drawn = h;
+                    drawnScore = score;
+                }
+                continue;
+            }
+            score -= last ? LAST_RESORT : 0;
             if (score > most) {
                 most = score;
                 best = h;
             }
         }
-        return best;
+        return drawn != null && drawnScore > most ? drawn : best;
     }
 
     private void weighed(Play p, Host h, String not, double score, double now) {
@@ -540,11 +550,9 @@
     }
 
     /** The design's score: spare rate, in plays at the middle rate, plus 1 over the percentage of streams. */
-    private double score(Host h, double unsure, double now) {
-        Gauge up = h.rack.uplink;
-        double link = linkUse(h, now) + unsure * (1 - h.link.weight(FADE_MS, now)) * chance.next();
-        double uplink = uplinkUse(h.rack, now) + unsure * (1 - up.weight(FADE_MS, now)) * chance.next();
-        double spare = Math.min(size(h, now) * (1 - link), h.rack.uplinkKb * (1 - uplink));
+    private double score(Host h, double now) {
+        double spare = Math.min(size(h, now) * (1 - linkUse(h, now)),
+            h.rack.uplinkKb * (1 - uplinkUse(h.rack, now)));
         double percent = h.line.slots() > 0 ? 100 * streams(h, now) / h.line.slots() : 100;
         return spare / middleKb + 1 / Math.max(1, percent);
     }
@@ -829,8 +837,8 @@
                 if (most > 0 && p.plays && (!p.wish.moved() || now - p.takenAt > MOVE_GAP_MS)
                     && saves > MOVE_WORTH * moves.price() * credit * life) {
                     Host to = best(p, now, h);
-                    double need = score(h, 0, now) + p.kb(ladder, p.rung) / middleKb;
-                    if (to != null && !to.suspect && score(to, 0, now) > need && passes(most--, 1)) {
+                    double need = score(h, now) + p.kb(ladder, p.rung) / middleKb;
+                    if (to != null && !to.suspect && score(to, now) > need && passes(most--, 1)) {
                         out.move(p.wish.play());
                         out.log("moved a play off " + h.id.value() + ": share " + h.share);
                     }
