Spare rate in another place counts less, by the price of crossing

Nothing went by a host's place. The price is now passed on (fees.crossZone; crossing-price in the XML, 0 by default), and Post's place is used.

--- a/app/src/main/java/walnutfield/app/Settings.java
+++ b/app/src/main/java/walnutfield/app/Settings.java
@@ -88,7 +88,7 @@
         return new Making(gateway, Main.BUILD, Clock.now(), post, ladder, links, legs(root), cold(root),
             new ShedTerms(root.one("shed").number("most-hold-off-ms")), new ReportTerms(r.flag("probes"),
                 r.number("probe-price"), r.number("told-late-ms"), r.flag("ask-for-list")),
-            new MoveTerms(root.one("moves").number("price")), shares);
+            new MoveTerms(root.one("moves").number("price"), root.one("moves").number("crossing-price")), shares);
     }
 
     /** The making of a gateway's own settings. */
--- a/bench/src/main/java/walnutfield/bench/Settings.java
+++ b/bench/src/main/java/walnutfield/bench/Settings.java
@@ -89,7 +89,7 @@
         ReportTerms reports = new ReportTerms(limits.path("probing").asBoolean() && !how.equals("off"),
                 fees.path("probe").asDouble(),
                 fam.path("toldLate").asDouble(), all.path("discovery").asText().equals("ask"));
-        MoveTerms moves = new MoveTerms(fees.path("moves").asDouble());
+        MoveTerms moves = new MoveTerms(fees.path("moves").asDouble(), fees.path("crossZone").asDouble());
         try {
             return new Desk(post, ladder, links, legs, cold, sheds, reports, moves, shares, out,
                 ears.of(number, post, ladder, links, legs, cold, sheds, reports, moves, shares));
--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -38,6 +38,7 @@
     private static final double SELF = 0.3;         // weight of what own plays tell of the average
     private static final double FEW = 10;           // own plays that tell as much of the fleet as a guess
     private static final double LEAST_SPARE = 0.01; // no holder's odds of being drawn are by less
+    private static final double CROSSING = 50;      // spare rate in another place counts so little, times its price
     private static final double UNSURE = 0.30;      // use over the guess that a new play's rung allows for
     private static final double PROBE_PRICE = 0.02; // a play earns a probe at this price, more where cheaper
     private static final double PROBES_SAVED = 4;   // and a gateway saves so many
@@ -549,12 +550,15 @@
         }
     }
 
-    /** The design's score: spare rate, in plays at the middle rate, plus 1 over the percentage of streams. */
+    /** The design's score: spare rate, in plays at the middle rate, plus 1 over the percentage of streams.
+     *  Exception: spare rate in another place counts less, by the price of crossing. Guards against that price
+     *  and against places cut off or lost; it harms where viewers crowd into one place. */
     private double score(Host h, double now) {
         double spare = Math.min(size(h, now) * (1 - linkUse(h, now)),
             h.rack.uplinkKb * (1 - uplinkUse(h.rack, now)));
         double percent = h.line.slots() > 0 ? 100 * streams(h, now) / h.line.slots() : 100;
-        return spare / middleKb + 1 / Math.max(1, percent);
+        boolean here = h.line.place().equals(post.place());
+        return spare / middleKb / (here || spare < 0 ? 1 : 1 + CROSSING * moves.crossing()) + 1 / Math.max(1, percent);
     }
 
     /** When a host may next be sent a set-up: a cold or unproven one at our part of a safe pace. Where that
--- a/core/src/main/java/walnutfield/play/MoveTerms.java
+++ b/core/src/main/java/walnutfield/play/MoveTerms.java
@@ -1,8 +1,9 @@
 package walnutfield.play;
 
 /**
- * What moves cost.
+ * What it costs to send plays about.
  *
- * @param price     share of service lost when each play is moved once
+ * @param price    share of service lost when each play is moved once
+ * @param crossing share of service lost when each play plays from another place than its gateway's
  */
-public record MoveTerms(double price) { }
+public record MoveTerms(double price, double crossing) { }
--- a/record/src/main/java/walnutfield/record/Making.java
+++ b/record/src/main/java/walnutfield/record/Making.java
@@ -30,7 +30,7 @@
                   LegTerms legs, ColdTerms cold, ShedTerms shed, ReportTerms reports, MoveTerms moves,
                   List<Share> shares) {
         Head.Builder b = Head.newBuilder().setGateway(gateway).setBuild(build).setStartedMs(startedMs)
-            .setMostHoldOffMs(shed.mostHoldOffMs()).setMovePrice(moves.price());
+            .setMostHoldOffMs(shed.mostHoldOffMs()).setMovePrice(moves.price()).setCrossingPrice(moves.crossing());
         b.getPostBuilder().setSeed(post.seed()).setMe(post.me()).setGateways(post.gateways())
             .setPlace(post.place().value());
         b.getLadderBuilder().addAllKb(ladder.kb()).addAllCredit(ladder.credit()).setStall(ladder.stall());
@@ -88,7 +88,7 @@
             new ShedTerms(head.getMostHoldOffMs()),
             new ReportTerms(head.getReports().getMayProbe(), head.getReports().getProbePrice(),
                 head.getReports().getToldLateMs(), head.getReports().getAskForList()),
-            new MoveTerms(head.getMovePrice()),
+            new MoveTerms(head.getMovePrice(), head.getCrossingPrice()),
             head.getSharesList().stream().map(s -> new Share(new CustomerId(s.getCustomer()), s.getPlaysPerS(),
                 s.getBeyond())).toList(), out, carrier, listener);
     }
