What figures tell of an uplink over its guess is kept for a minute

Of 6,932 shares under 0.97, 46 in 100 came from hosts whose own link report was under 0.9 at that time; they sat in three of 14 racks (links at 0.81 to 0.87, shares 0.86 to 0.89). Dropped: links too full by choice (x0 median 0.9), streams.

--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -30,6 +30,9 @@
     private static final double RAISE_MOST = 0.92;  // and never where use would pass this
     private static final double RAISE_MS = 4_000;   // a host's plays are stepped up so often at most
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
+    private static final double LEARNT_MS = 60_000; // what was learnt of an uplink falls by e in this time
+    private static final double LEARN = 0.1;        // part of what a figure tells over the guess that is learnt
+    private static final double NARROW_MOST = 2.5;  // no uplink is reckoned so many times narrower than told
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
     private static final double SURE = 0.5, ROOMY = 0.95; // a link report of this weight and use denies it
     private static final double USE_MOST = 3;       // no share is taken for more use than this
@@ -241,8 +244,22 @@
 
     /** A rack's uplink, guessed from its hosts' links; where none is told it is never the narrower one. */
     private double uplinkUse(Rack r, double now) {
-        double sum = r.hosts.stream().mapToDouble(h -> h.silent ? 0 : linkUse(h, now) * size(h, now)).sum();
-        return use(r.uplink, r.uplinkKb, sum / r.uplinkKb, now);
+        return use(r.uplink, r.uplinkKb, uplinkGuess(r, now) * r.narrow(LEARNT_MS, now), now);
+    }
+
+    private double uplinkGuess(Rack r, double now) {
+        return r.hosts.stream().mapToDouble(h -> h.silent ? 0 : linkUse(h, now) * size(h, now)).sum() / r.uplinkKb;
+    }
+
+    /** Exception: what figures tell of an uplink over its guess is kept for longer than they. Guards against
+     *  racks much narrower than the told mean, which are filled again as each figure fades; it harms where
+     *  plays there are few and their links are guessed ill. */
+    private void uplinkTold(Rack r, double use, double of, double now) {
+        double guess = uplinkGuess(r, now), was = r.narrow(LEARNT_MS, now);
+        if (guess > 0) {
+            r.learn(was + LEARN * (Math.min(NARROW_MOST, use / guess) - was), now);
+        }
+        r.uplink.tell(use, of, all);
     }
 
     /** Streams in use; where none are told, as many as plays at the middle rate make that use. */
@@ -262,7 +279,7 @@
             fleet.heard.add(h);
         }
         if (!Double.isNaN(load.uplink())) {
-            h.rack.uplink.tell(load.uplink(), of, all);
+            uplinkTold(h.rack, load.uplink(), of, seenAt);
         }
         if (!Double.isNaN(load.streams())) {
             h.streamsTold = load.streams();
@@ -302,7 +319,7 @@
         }
         if (h.link.weight(FADE_MS, now) > SURE && h.link.told < ROOMY // its link's report denies it
             || shortOnes >= 2 && shortOnes * 2 >= mine) {
-            h.rack.uplink.tell(Math.min(USE_MOST, shortOnes / sum), of, all);
+            uplinkTold(h.rack, Math.min(USE_MOST, shortOnes / sum), of, now);
         } else {
             h.link.tell(Math.min(USE_MOST, 1 / share), of, all);
         }
