Messages between gateways: what each hears of hosts goes to fellows of its place

Calls and results for messages go through the desk and its records; the adapter carries the bytes; Gossip encodes and checks.

--- a/bench/src/main/java/walnutfield/bench/Adapter.java
+++ b/bench/src/main/java/walnutfield/bench/Adapter.java
@@ -228,8 +228,11 @@
                 String mark = f.text();
                 return () -> d.take(t, new Call.Woke(mark));
             }
-            case "message":
-                return () -> { };
+            case "message": {
+                int from = f.small();
+                String bytes = f.text();
+                return () -> d.take(t, new Call.PeerSaid(from, bytes));
+            }
             default:
                 throw new MalformedLine("unknown event '" + name + "'");
         }
--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -44,6 +44,7 @@
     private static final double CROSSING = 50;      // spare rate in another place counts so little, times its price
     private static final double UNSURE = 0.30;      // use over the guess that a new play's rung allows for
     private static final double PROBE_PRICE = 0.02; // a play earns a probe at this price, more where cheaper
+    private static final double TALKING = 0.25;    // and so much of it where fellows tell each other
     private static final double PROBES_SAVED = 4;   // and a gateway saves so many
     private static final double ASK_MS = 60;        // a play waits so long for a probe
     private static final double PROBE_STALE_MS = 1_500; // no host is probed whose figure is younger
@@ -98,6 +99,7 @@
     private double fellows = Double.POSITIVE_INFINITY; // the fellows' usual quantile of answer times
     private double nextRecheck, probeTokens, askAgainAt = Double.POSITIVE_INFINITY;
     private double life = LIFE_MS, credit = 1; // usual length and credit of a play
+    private final Gossip gossip; // null where gateways may not talk
     private Witness witness;
 
     public Director(Post post, Ladder ladder, LinkTerms links, LegTerms legs, ColdTerms cold, ShedTerms sheds,
@@ -113,6 +115,8 @@
         this.out = out;
         fleet = new Fleet(links.cells(), links.racks());
         chance = new Chance(post.seed());
+        gossip = !reports.maySay() || post.gateways() < 2 ? null
+            : new Gossip(post.me(), post.gateways(), post.place(), reports.sayPrice(), chance::next);
         takes = new Span(legs.spanMs() - EDGE_MS);
         further = new Span(legs.spanMs() + EDGE_MS);
         for (Share s : shares) {
@@ -275,8 +279,7 @@
             return;
         }
         if (!Double.isNaN(load.link())) {
-            h.link.tell(load.link(), of, all);
-            fleet.heard.add(h);
+            linkTold(h, load.link(), of);
         }
         if (!Double.isNaN(load.uplink())) {
             uplinkTold(h.rack, load.uplink(), of, seenAt);
@@ -287,6 +290,35 @@
         }
     }
 
+    private void linkTold(Host h, double use, double of) {
+        h.link.tell(use, of, all);
+        h.ownTold = h.link.told;
+        h.ownOf = h.link.toldOf;
+        fleet.heard.add(h);
+    }
+
+    /** A fellow gateway's word counts as a figure of its time; that a host is bad only where we heard no better. */
+    public void peerSaid(double now, int peer, String bytes) {
+        turn(now);
+        if (gossip == null || !gossip.take(peer, bytes, fleet.all(), now, new Gossip.Ear() {
+            @Override
+            public void told(Host h, double use, double of) {
+                h.link.tell(use, of, all);
+                fleet.heard.add(h);
+            }
+
+            @Override
+            public void bad(Host h, double of) {
+                if (!h.suspect && of > Math.max(h.ownOf, h.coldSince)) {
+                    doubt(h, true, "a fellow found it bad", of);
+                    h.badOf = Double.NEGATIVE_INFINITY; // only what we found ourselves is said on
+                }
+            }
+        })) {
+            out.log("a message of gateway " + peer + " is malformed or not for us");
+        }
+    }
+
     /** Figures about plays that play: NaN for what is not told. */
     public void loadTold(double now, HostId id, Load load) {
         turn(now);
@@ -321,7 +353,7 @@
             || shortOnes >= 2 && shortOnes * 2 >= mine) {
             uplinkTold(h.rack, Math.min(USE_MOST, shortOnes / sum), of, now);
         } else {
-            h.link.tell(Math.min(USE_MOST, 1 / share), of, all);
+            linkTold(h, Math.min(USE_MOST, 1 / share), of);
         }
     }
 
@@ -342,7 +374,10 @@
     }
 
     private void earnProbes() {
-        double earned = PROBE_PRICE * unsure() / Math.max(1e-9, reports.probePrice());
+        if (gossip != null) {
+            gossip.earn();
+        }
+        double earned = PROBE_PRICE * (gossip == null ? 1 : TALKING) * unsure() / Math.max(1e-9, reports.probePrice());
         probeTokens = Math.min(PROBES_SAVED, probeTokens + earned);
     }
 
@@ -692,6 +727,7 @@
             out.log("host " + h.id.value() + " suspect: " + why + ", out for " + SUSPECT_MS + " ms");
         }
         h.retryAt = now + SUSPECT_MS;
+        h.badOf = now;
         h.suspect = true;
         h.silent |= silent;
         h.goodInRow = 0;
@@ -743,6 +779,10 @@
             run(p, now);
         }
         compare(now);
+        String said = gossip == null ? null : gossip.message(fleet.all(), now);
+        if (said != null) {
+            out.say(gossip.peer(), said);
+        }
         fleet.busy.values().forEach(h -> ease(h.link, h.plays, () -> linkUse(h, now), now));
         fleet.busy.values().stream().map(h -> h.rack).distinct()
             .forEach(r -> ease(r.uplink, r.plays(), () -> uplinkUse(r, now), now));
--- a/core/src/main/java/walnutfield/decide/Host.java
+++ b/core/src/main/java/walnutfield/decide/Host.java
@@ -32,11 +32,16 @@
     double coldSince = Double.NEGATIVE_INFINITY;
     double unprovenSince = Double.NEGATIVE_INFINITY;
     double lastSent = Double.NEGATIVE_INFINITY;
+    final int sum; // of its name, for messages
+    double ownTold; // use as heard by this gateway itself, and of when; when it was itself found bad
+    double ownOf = Double.NEGATIVE_INFINITY;
+    double badOf = Double.NEGATIVE_INFINITY;
     boolean probeOut;
     double probedAt = Double.NEGATIVE_INFINITY;
 
     Host(HostLine line, Rack rack) {
         id = line.host();
+        sum = Gossip.sum(id.value());
         this.line = line;
         this.rack = rack;
     }
