--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -40,6 +40,7 @@
     private static final double HEARD_LEAST = 0.01; // a figure of less weight tells nothing of the average
     private static final double SELF = 0.3;         // weight of what own plays tell of the average
     private static final double FEW = 10;           // own plays that tell as much of the fleet as a guess
+    private static final double OWN_MS = 5_500;     // a figure heard by this gateway itself decides for so long
     private static final double LEAST_SPARE = 0.01; // no holder's odds of being drawn are by less
     private static final double CROSSING = 50;      // spare rate in another place counts so little, times its price
     private static final double UNSURE = 0.30;      // use over the guess that a new play's rung allows for
@@ -576,7 +577,7 @@
             double score = score(h, now);
             boolean last = doubted && now < h.retryAt || h.probeOut && now - h.probedAt >= ASK_MS;
             weighed(p, h, null, score, now);
-            if (!last && h.link.weight(FADE_MS, now) < SURE && post.gateways() > 1) {
+            if (!last && now - h.ownOf > OWN_MS && post.gateways() > 1) {
                 double turn = -Math.log(1 - chance.next()) / Math.max(LEAST_SPARE, score);
                 if (turn < soonest) {
                     soonest = turn;
