--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -311,8 +311,7 @@
             @Override
             public void bad(Host h, double of) {
                 if (!h.suspect && of > Math.max(h.ownOf, h.coldSince)) {
-                    doubt(h, true, "a fellow found it bad", of);
-                    h.badOf = Double.NEGATIVE_INFINITY; // only what we found ourselves is said on
+                    doubt(h, false, "a fellow found it silent", of);
                 }
             }
         })) {
@@ -728,7 +727,7 @@
             out.log("host " + h.id.value() + " suspect: " + why + ", out for " + SUSPECT_MS + " ms");
         }
         h.retryAt = now + SUSPECT_MS;
-        h.badOf = now;
+        h.badOf = silent ? now : h.badOf; // told to fellows; what they told is not told on
         h.suspect = true;
         h.silent |= silent;
         h.goodInRow = 0;
