--- a/core/src/main/java/walnutfield/decide/Gossip.java
+++ b/core/src/main/java/walnutfield/decide/Gossip.java
@@ -14,7 +14,7 @@
 final class Gossip {
     private static final int VERSION = 1, HEAD = 2, ENTRY = 4, MOST = 250, BAD = 255, BYTES = 256;
     private static final double AGE_MS = 20;
-    private static final double SPEND = 0.002; // of service, on messages, by what a play earns
+    private static final double SPEND = 0.000001; // of service, on messages, by what a play earns
     private static final double NEAR = 0.8;    // part of messages that go to fellows of the same place
     private static final double SAVED = 512;   // bytes
 
