--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -45,7 +45,7 @@
     private static final double CROSSING = 50;      // spare rate in another place counts so little, times its price
     private static final double UNSURE = 0.30;      // use over the guess that a new play's rung allows for
     private static final double PROBE_PRICE = 0.02; // a play earns a probe at this price, more where cheaper
-    private static final double TALKING = 0.5;    // and so much of it where fellows tell each other
+    private static final double TALKING = 0.25;    // and so much of it where fellows tell each other
     private static final double PROBES_SAVED = 4;   // and a gateway saves so many
     private static final double ASK_MS = 60;        // a play waits so long for a probe
     private static final double PROBE_STALE_MS = 1_500; // no host is probed whose figure is younger
