--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -40,7 +40,6 @@
     private static final double HEARD_LEAST = 0.01; // a figure of less weight tells nothing of the average
     private static final double SELF = 0.3;         // weight of what own plays tell of the average
     private static final double FEW = 10;           // own plays that tell as much of the fleet as a guess
-    private static final double OWN_MS = 5_500;     // a figure heard by this gateway itself decides for so long
     private static final double LEAST_SPARE = 0.01; // no holder's odds of being drawn are by less
     private static final double CROSSING = 50;      // spare rate in another place counts so little, times its price
     private static final double UNSURE = 0.30;      // use over the guess that a new play's rung allows for
@@ -280,7 +279,8 @@
             return;
         }
         if (!Double.isNaN(load.link())) {
-            linkTold(h, load.link(), of);
+            h.link.tell(load.link(), of, all);
+            fleet.heard.add(h);
         }
         if (!Double.isNaN(load.uplink())) {
             uplinkTold(h.rack, load.uplink(), of, seenAt);
@@ -291,31 +291,20 @@
         }
     }
 
-    private void linkTold(Host h, double use, double of) {
-        h.link.tell(use, of, all);
-        h.ownTold = h.link.told;
-        h.ownOf = h.link.toldOf;
-        fleet.heard.add(h);
-    }
-
-    /** A fellow gateway's word counts as a figure of its time; that a host is bad only where we heard no better. */
+    /** A fellow found a host lost: believed where we have heard nothing of it since, and told on once. */
     public void peerSaid(double now, int peer, String bytes) {
         turn(now);
-        if (gossip == null || !gossip.take(peer, bytes, fleet.all(), now, new Gossip.Ear() {
-            @Override
-            public void told(Host h, double use, double of) {
-                h.link.tell(use, of, all);
-                fleet.heard.add(h);
-            }
-
-            @Override
-            public void bad(Host h, double of) {
-                if (!h.suspect && of > Math.max(h.ownOf, h.coldSince)) {
-                    doubt(h, false, "a fellow found it silent", of);
-                }
-            }
-        })) {
+        List<Gossip.Loss> losses = gossip == null ? null : gossip.take(peer, bytes, fleet.all(), now);
+        if (losses == null) {
             out.log("a message of gateway " + peer + " is malformed or not for us");
+            return;
+        }
+        for (Gossip.Loss l : losses) {
+            if (!l.host().suspect && l.of() > Math.max(l.host().link.toldOf, l.host().coldSince)) {
+                doubt(l.host(), false, "lost, says gateway " + peer, now);
+                l.host().lostOf = l.of();
+                l.host().lostAt = now;
+            }
         }
     }
 
@@ -353,7 +342,7 @@
             || shortOnes >= 2 && shortOnes * 2 >= mine) {
             uplinkTold(h.rack, Math.min(USE_MOST, shortOnes / sum), of, now);
         } else {
-            linkTold(h, Math.min(USE_MOST, 1 / share), of);
+            h.link.tell(Math.min(USE_MOST, 1 / share), of, all);
         }
     }
 
@@ -576,7 +565,7 @@
             double score = score(h, now);
             boolean last = doubted && now < h.retryAt || h.probeOut && now - h.probedAt >= ASK_MS;
             weighed(p, h, null, score, now);
-            if (!last && now - h.ownOf > OWN_MS && post.gateways() > 1) {
+            if (!last && h.link.weight(FADE_MS, now) < SURE && post.gateways() > 1) {
                 double turn = -Math.log(1 - chance.next()) / Math.max(LEAST_SPARE, score);
                 if (turn < soonest) {
                     soonest = turn;
@@ -717,6 +706,9 @@
             h.turnedAwayAt = now;
         } else if (WRONG.containsKey(how)) {
             doubt(h, how != Outcome.FAILED, WRONG.get(how), now);
+            if (how == Outcome.UNREACHABLE || how == Outcome.BROKEN_OFF) {
+                h.lostOf = h.lostAt = now;
+            }
         }
     }
 
@@ -727,7 +719,6 @@
             out.log("host " + h.id.value() + " suspect: " + why + ", out for " + SUSPECT_MS + " ms");
         }
         h.retryAt = now + SUSPECT_MS;
-        h.badOf = silent ? now : h.badOf; // told to fellows; what they told is not told on
         h.suspect = true;
         h.silent |= silent;
         h.goodInRow = 0;
@@ -779,9 +770,8 @@
             run(p, now);
         }
         compare(now);
-        String said = gossip == null ? null : gossip.message(fleet.all(), now);
-        if (said != null) {
-            out.say(gossip.peer(), said);
+        if (gossip != null) {
+            gossip.spread(fleet.all(), now, out);
         }
         fleet.busy.values().forEach(h -> ease(h.link, h.plays, () -> linkUse(h, now), now));
         fleet.busy.values().stream().map(h -> h.rack).distinct()
--- a/core/src/main/java/walnutfield/decide/Gossip.java
+++ b/core/src/main/java/walnutfield/decide/Gossip.java
@@ -4,26 +4,24 @@
 import java.util.*;
 import java.util.function.DoubleSupplier;
 import java.util.zip.CRC32;
+import walnutfield.play.Gateway;
 import walnutfield.play.PlaceId;
 
 /**
- * What this gateway says to its fellows, where they may talk, and what it takes from them: use of links and hosts
- * found bad, from its own hearing only, so that nothing goes in circles. Three bytes (version, place), then four for
- * each host: two of its name's check sum, use in hundredths or BAD, age in AGE_MS. It decides nothing of plays.
+ * What gateways that may talk tell each other: hosts found lost. Two bytes (version, place), then three for each host:
+ * two of its name's check sum, and its age in steps of AGE_MS. It is told to a few fellows and by them once more, so
+ * that it spreads over a place; what would cost more than the told price allows is left unsaid.
  */
 final class Gossip {
-    private static final int VERSION = 1, HEAD = 2, ENTRY = 4, MOST = 250, BAD = 255, BYTES = 256;
+    private static final int VERSION = 1, HEAD = 2, ENTRY = 3, MOST = 250, BYTES = 256;
     private static final double AGE_MS = 20;
-    private static final double SPEND = 0.000001; // of service, on messages, by what a play earns
+    private static final int FELLOWS = 4;      // are told at once
+    private static final double SPEND = 0.002; // of service, on messages, by what a play earns
     private static final double NEAR = 0.8;    // part of messages that go to fellows of the same place
-    private static final double SAVED = 512;   // bytes
+    private static final double SAVED = 2048;  // bytes
 
-    /** A host that was spoken of. */
-    interface Ear {
-        void told(Host h, double use, double of);
-
-        void bad(Host h, double of);
-    }
+    /** A host that a fellow found lost, and when. */
+    record Loss(Host host, double of) { }
 
     private final int me;
     private final int gateways;
@@ -31,7 +29,8 @@
     private final double earned;
     private final DoubleSupplier chance;
     private final List<Integer> near = new ArrayList<>(); // fellows heard from the same place; one for each at most
-    private double saved;
+    private double saved = SAVED;
+    private double saidAt = Double.NEGATIVE_INFINITY;
 
     Gossip(int me, int gateways, PlaceId place, double price, DoubleSupplier chance) {
         this.me = me;
@@ -46,8 +45,28 @@
         saved = Math.min(SAVED, saved + earned);
     }
 
-    /** To whom the next message goes. */
-    int peer() {
+    /** Says what was found or heard since the last time. */
+    void spread(Collection<Host> hosts, double now, Gateway out) {
+        List<Host> lost = hosts.stream().filter(h -> h.lostOf > now - 255 * AGE_MS && h.lostAt > saidAt)
+            .limit((MOST - HEAD) / ENTRY).toList();
+        saidAt = now;
+        int size = HEAD + ENTRY * lost.size();
+        byte[] bytes = new byte[size];
+        bytes[0] = VERSION;
+        bytes[1] = (byte) place;
+        int i = HEAD;
+        for (Host h : lost) {
+            bytes[i++] = (byte) (h.sum >> 8);
+            bytes[i++] = (byte) h.sum;
+            bytes[i++] = (byte) Math.max(0, (now - h.lostOf) / AGE_MS);
+        }
+        for (int n = 0; n < FELLOWS && !lost.isEmpty() && saved >= size; n++) {
+            saved -= size;
+            out.say(fellow(), HexFormat.of().formatHex(bytes));
+        }
+    }
+
+    private int fellow() {
         if (!near.isEmpty() && chance.getAsDouble() < NEAR) {
             return near.get((int) (chance.getAsDouble() * near.size()));
         }
@@ -55,63 +74,35 @@
         return other < me ? other : other + 1;
     }
 
-    /** What is to be said now, freshest first; null where there is nothing or too little saved for it. */
-    String message(Collection<Host> hosts, double now) {
-        List<Host> fresh = hosts.stream().filter(h -> now - said(h) < AGE_MS * 255)
-            .sorted(Comparator.comparingDouble(h -> -said(h))).limit((MOST - HEAD) / ENTRY).toList();
-        int size = HEAD + ENTRY * fresh.size();
-        if (fresh.isEmpty() || saved < size) {
-            return null;
-        }
-        saved -= size;
-        byte[] out = new byte[size];
-        out[0] = VERSION;
-        out[1] = (byte) place;
-        int i = HEAD;
-        for (Host h : fresh) {
-            boolean bad = h.badOf > h.ownOf;
-            out[i++] = (byte) (h.sum >> 8);
-            out[i++] = (byte) h.sum;
-            out[i++] = (byte) (bad ? BAD : (int) Math.min(BAD - 1, Math.max(0, 100 * h.ownTold)));
-            out[i++] = (byte) Math.max(0, (now - said(h)) / AGE_MS);
-        }
-        return HexFormat.of().formatHex(out);
-    }
-
-    private static double said(Host h) {
-        return Math.max(h.ownOf, h.badOf);
-    }
-
-    /** Takes what a fellow said; false for what is malformed or of another build. A name that two hosts' sums
-     *  share is nobody's. That a host is bad is believed from the same place only: others may be cut off from it. */
-    boolean take(int from, String hex, Collection<Host> hosts, double now, Ear ear) {
+    /** What a fellow said; null for what is malformed, of another build or from no fellow. A sum that two hosts'
+     *  names share is nobody's. Only the same place is believed: others may be cut off from the host. */
+    List<Loss> take(int from, String hex, Collection<Host> hosts, double now) {
         byte[] in;
         try {
             in = HexFormat.of().parseHex(hex);
         } catch (IllegalArgumentException e) {
-            return false;
+            return null;
         }
         if (in.length < HEAD || in.length > MOST || (in.length - HEAD) % ENTRY != 0 || in[0] != VERSION
             || from < 0 || from >= gateways || from == me) {
-            return false;
+            return null;
+        }
+        List<Loss> losses = new ArrayList<>();
+        if ((in[1] & 255) != place) {
+            return losses;
         }
-        boolean here = (in[1] & 255) == place;
-        if (here && !near.contains(from)) {
+        if (!near.contains(from)) {
             near.add(from);
         }
         Map<Integer, Host> named = new HashMap<>();
         hosts.forEach(h -> named.put(h.sum, named.containsKey(h.sum) ? null : h));
         for (int i = HEAD; i < in.length; i += ENTRY) {
             Host h = named.get((in[i] & 255) << 8 | in[i + 1] & 255);
-            int what = in[i + 2] & 255;
-            double of = now - (in[i + 3] & 255) * AGE_MS;
-            if (h != null && what != BAD) {
-                ear.told(h, what / 100.0, of);
-            } else if (h != null && here) {
-                ear.bad(h, of);
+            if (h != null) {
+                losses.add(new Loss(h, now - (in[i + 2] & 255) * AGE_MS));
             }
         }
-        return true;
+        return losses;
     }
 
     static int sum(String name) {
--- a/core/src/main/java/walnutfield/decide/Host.java
+++ b/core/src/main/java/walnutfield/decide/Host.java
@@ -33,9 +33,8 @@
     double unprovenSince = Double.NEGATIVE_INFINITY;
     double lastSent = Double.NEGATIVE_INFINITY;
     final int sum; // of its name, for messages
-    double ownTold; // use as heard by this gateway itself, and of when; when it was itself found bad
-    double ownOf = Double.NEGATIVE_INFINITY;
-    double badOf = Double.NEGATIVE_INFINITY;
+    double lostOf = Double.NEGATIVE_INFINITY; // when it was found lost, and when we learnt that
+    double lostAt = Double.NEGATIVE_INFINITY;
     boolean probeOut;
     double probedAt = Double.NEGATIVE_INFINITY;
 
