--- a/app/src/main/java/walnutfield/app/Settings.java
+++ b/app/src/main/java/walnutfield/app/Settings.java
@@ -87,7 +87,7 @@
         Xml r = root.one("reports");
         return new Making(gateway, Main.BUILD, Clock.now(), post, ladder, links, legs(root), cold(root),
             new ShedTerms(root.one("shed").number("most-hold-off-ms")), new ReportTerms(r.flag("probes"),
-                r.number("probe-price"), r.number("told-late-ms"), r.flag("ask-for-list"), r.flag("say"), r.number("say-price")),
+                r.number("probe-price"), r.number("told-late-ms"), r.flag("ask-for-list"), r.flag("in-answers")),
             new MoveTerms(root.one("moves").number("price"), root.one("moves").number("crossing-price")), shares);
     }
 
--- a/bench/src/main/java/walnutfield/bench/Adapter.java
+++ b/bench/src/main/java/walnutfield/bench/Adapter.java
@@ -228,11 +228,8 @@
                 String mark = f.text();
                 return () -> d.take(t, new Call.Woke(mark));
             }
-            case "message": {
-                int from = f.small();
-                String bytes = f.text();
-                return () -> d.take(t, new Call.PeerSaid(from, bytes));
-            }
+            case "message":
+                return () -> { };
             default:
                 throw new MalformedLine("unknown event '" + name + "'");
         }
--- a/bench/src/main/java/walnutfield/bench/Replies.java
+++ b/bench/src/main/java/walnutfield/bench/Replies.java
@@ -69,11 +69,6 @@
         line(out, "defer", instance, time, mark);
     }
 
-    @Override
-    public void say(int peer, String bytes) {
-        line(out, "announce", instance, peer, bytes);
-    }
-
     @Override
     public void log(String text) {
         line(out, "noteDown", instance, text);
--- a/bench/src/main/java/walnutfield/bench/Settings.java
+++ b/bench/src/main/java/walnutfield/bench/Settings.java
@@ -88,8 +88,7 @@
         ShedTerms sheds = new ShedTerms(limits.path("retryAfter").asBoolean() ? limits.path("maxRetryAfter").asDouble() : 0);
         ReportTerms reports = new ReportTerms(limits.path("probing").asBoolean() && !how.equals("off"),
                 fees.path("probe").asDouble(),
-                fam.path("toldLate").asDouble(), all.path("discovery").asText().equals("ask"),
-                limits.path("mayTell").asBoolean(), fees.path("peer").asDouble());
+                fam.path("toldLate").asDouble(), all.path("discovery").asText().equals("ask"), how.equals("inline"));
         MoveTerms moves = new MoveTerms(fees.path("moves").asDouble(), fees.path("crossZone").asDouble());
         try {
             return new Desk(post, ladder, links, legs, cold, sheds, reports, moves, shares, out,
--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -44,7 +44,7 @@
     private static final double CROSSING = 50;      // spare rate in another place counts so little, times its price
     private static final double UNSURE = 0.30;      // use over the guess that a new play's rung allows for
     private static final double PROBE_PRICE = 0.02; // a play earns a probe at this price, more where cheaper
-    private static final double TALKING = 0.25;    // and so much of it where fellows tell each other
+    private static final double ANSWERS = 0.25;    // and so much of it where answers tell load too
     private static final double PROBES_SAVED = 4;   // and a gateway saves so many
     private static final double ASK_MS = 60;        // a play waits so long for a probe
     private static final double PROBE_STALE_MS = 1_500; // no host is probed whose figure is younger
@@ -99,7 +99,6 @@
     private double fellows = Double.POSITIVE_INFINITY; // the fellows' usual quantile of answer times
     private double nextRecheck, probeTokens, askAgainAt = Double.POSITIVE_INFINITY;
     private double life = LIFE_MS, credit = 1; // usual length and credit of a play
-    private final Gossip gossip; // null where gateways may not talk
     private Witness witness;
 
     public Director(Post post, Ladder ladder, LinkTerms links, LegTerms legs, ColdTerms cold, ShedTerms sheds,
@@ -115,8 +114,6 @@
         this.out = out;
         fleet = new Fleet(links.cells(), links.racks());
         chance = new Chance(post.seed());
-        gossip = !reports.maySay() || post.gateways() < 2 ? null
-            : new Gossip(post.me(), post.gateways(), post.place(), reports.sayPrice(), chance::next);
         takes = new Span(legs.spanMs() - EDGE_MS);
         further = new Span(legs.spanMs() + EDGE_MS);
         for (Share s : shares) {
@@ -291,23 +288,6 @@
         }
     }
 
-    /** A fellow found a host lost: believed where we have heard nothing of it since, and told on once. */
-    public void peerSaid(double now, int peer, String bytes) {
-        turn(now);
-        List<Gossip.Loss> losses = gossip == null ? null : gossip.take(peer, bytes, fleet.all(), now);
-        if (losses == null) {
-            out.log("a message of gateway " + peer + " is malformed or not for us");
-            return;
-        }
-        for (Gossip.Loss l : losses) {
-            if (!l.host().suspect && l.of() > Math.max(l.host().link.toldOf, l.host().coldSince)) {
-                doubt(l.host(), false, "lost, says gateway " + peer, now);
-                l.host().lostOf = l.of();
-                l.host().lostAt = now;
-            }
-        }
-    }
-
     /** Figures about plays that play: NaN for what is not told. */
     public void loadTold(double now, HostId id, Load load) {
         turn(now);
@@ -363,10 +343,7 @@
     }
 
     private void earnProbes() {
-        if (gossip != null) {
-            gossip.earn();
-        }
-        double earned = PROBE_PRICE * (gossip == null ? 1 : TALKING) * unsure() / Math.max(1e-9, reports.probePrice());
+        double earned = PROBE_PRICE * (reports.inAnswers() ? ANSWERS : 1) * unsure() / Math.max(1e-9, reports.probePrice());
         probeTokens = Math.min(PROBES_SAVED, probeTokens + earned);
     }
 
@@ -706,9 +683,6 @@
             h.turnedAwayAt = now;
         } else if (WRONG.containsKey(how)) {
             doubt(h, how != Outcome.FAILED, WRONG.get(how), now);
-            if (how == Outcome.UNREACHABLE || how == Outcome.BROKEN_OFF) {
-                h.lostOf = h.lostAt = now;
-            }
         }
     }
 
@@ -770,9 +744,6 @@
             run(p, now);
         }
         compare(now);
-        if (gossip != null) {
-            gossip.spread(fleet.all(), now, out);
-        }
         fleet.busy.values().forEach(h -> ease(h.link, h.plays, () -> linkUse(h, now), now));
         fleet.busy.values().stream().map(h -> h.rack).distinct()
             .forEach(r -> ease(r.uplink, r.plays(), () -> uplinkUse(r, now), now));
--- a/core/src/main/java/walnutfield/decide/Host.java
+++ b/core/src/main/java/walnutfield/decide/Host.java
@@ -32,15 +32,11 @@
     double coldSince = Double.NEGATIVE_INFINITY;
     double unprovenSince = Double.NEGATIVE_INFINITY;
     double lastSent = Double.NEGATIVE_INFINITY;
-    final int sum; // of its name, for messages
-    double lostOf = Double.NEGATIVE_INFINITY; // when it was found lost, and when we learnt that
-    double lostAt = Double.NEGATIVE_INFINITY;
     boolean probeOut;
     double probedAt = Double.NEGATIVE_INFINITY;
 
     Host(HostLine line, Rack rack) {
         id = line.host();
-        sum = Gossip.sum(id.value());
         this.line = line;
         this.rack = rack;
     }
--- a/core/src/main/java/walnutfield/desk/Call.java
+++ b/core/src/main/java/walnutfield/desk/Call.java
@@ -151,19 +151,6 @@
         }
     }
 
-    /**
-     * A fellow gateway said something.
-     *
-     * @param peer  its number
-     * @param bytes as hex digits
-     */
-    record PeerSaid(int peer, String bytes) implements Call {
-        @Override
-        public void tell(Director director, double now) {
-            director.peerSaid(now, peer, bytes);
-        }
-    }
-
     /** The time asked for by {@link Result.Wake} has come. */
     record Woke(String mark) implements Call {
         @Override
--- a/core/src/main/java/walnutfield/desk/Desk.java
+++ b/core/src/main/java/walnutfield/desk/Desk.java
@@ -122,11 +122,6 @@
             pass(new Result.Wake(time, mark));
         }
 
-        @Override
-        public void say(int peer, String bytes) {
-            pass(new Result.Said(peer, bytes));
-        }
-
         @Override
         public void log(String line) {
             pass(new Result.Noted(line));
--- a/core/src/main/java/walnutfield/desk/Result.java
+++ b/core/src/main/java/walnutfield/desk/Result.java
@@ -80,14 +80,6 @@
         }
     }
 
-    /** Say this to a fellow gateway. */
-    record Said(int peer, String bytes) implements Result {
-        @Override
-        public void carryOut(Gateway by) {
-            by.say(peer, bytes);
-        }
-    }
-
     /** A line for the log. */
     record Noted(String line) implements Result {
         @Override
--- a/core/src/main/java/walnutfield/play/Gateway.java
+++ b/core/src/main/java/walnutfield/play/Gateway.java
@@ -49,13 +49,5 @@
 
     void wake(double time, String mark);
 
-    /**
-     * Says something to a fellow gateway; it may be late or lost.
-     *
-     * @param peer  its number
-     * @param bytes as hex digits, 256 bytes at most
-     */
-    default void say(int peer, String bytes) { }
-
     void log(String line);
 }
--- a/core/src/test/java/walnutfield/desk/ColdInsertsTest.java
+++ b/core/src/test/java/walnutfield/desk/ColdInsertsTest.java
@@ -75,7 +75,7 @@
         };
         desk[0] = new Desk(new Post(3, 0, 1, new PlaceId("p")), new Ladder(List.of(1.0, 2.0), List.of(0.5, 1.0), 8),
             new LinkTerms(1e9, 0, 0, 1, 2, false), new LegTerms(4, 5, 0.2, 10_000),
-            new ColdTerms(FROM, WARM_MS, 3, FALL_MS), new ShedTerms(2000), new ReportTerms(false, 0, 0, false, false, 0),
+            new ColdTerms(FROM, WARM_MS, 3, FALL_MS), new ShedTerms(2000), new ReportTerms(false, 0, 0, false, false),
             new MoveTerms(0.1, 0), List.of(), out, beside, null);
         List<HostLine> hosts = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
--- a/core/src/test/java/walnutfield/desk/DeskTest.java
+++ b/core/src/test/java/walnutfield/desk/DeskTest.java
@@ -26,7 +26,7 @@
         Desk desk = new Desk(new Post(seed, 0, 3, new PlaceId("p")),
             new Ladder(List.of(100.0, 300.0), List.of(0.5, 1.0), 8), new LinkTerms(9000, 0, 0, 1, 3, false),
             new LegTerms(4, 5, 0.2, 10_000), new ColdTerms(1, 0, 1, 0), new ShedTerms(2000),
-            new ReportTerms(true, 0.01, 0, true, false, 0), new MoveTerms(0.1, 0), List.of(), Gateway.NONE, ear);
+            new ReportTerms(true, 0.01, 0, true, false), new MoveTerms(0.1, 0), List.of(), Gateway.NONE, ear);
         List<HostLine> lines = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             lines.add(new HostLine(new HostId("h" + i), new PlaceId("p"), 20, i, HostLine.Standing.READY, 1, 0));
--- a/gateway/src/test/java/walnutfield/gateway/Outside.java
+++ b/gateway/src/test/java/walnutfield/gateway/Outside.java
@@ -116,7 +116,7 @@
             new Catalogue(titles, bands, LADDER), new SimpleMeterRegistry(), () -> "",
             (to, beside) -> new Desk(new Post(5, 0, 1, new PlaceId("p")), LADDER,
                 new LinkTerms(4000.0 * hosts.size(), 0, 0, 1, hosts.size(), false), new LegTerms(3, 5, 0.2, 10_000),
-                new ColdTerms(1, 0, 1, 0), new ShedTerms(2000), new ReportTerms(false, 0.01, 0, false, false, 0),
+                new ColdTerms(1, 0, 1, 0), new ShedTerms(2000), new ReportTerms(false, 0.01, 0, false, false),
                 new MoveTerms(0.1, 0), List.of(), kept(to), beside, ear));
         port = gateway.start();
         return this;
--- a/jmh/src/main/java/walnutfield/jmh/DeskBenchmark.java
+++ b/jmh/src/main/java/walnutfield/jmh/DeskBenchmark.java
@@ -81,7 +81,7 @@
         desk = new Desk(new Post(7, 0, 1, new PlaceId("p")), new Ladder(List.of(90.0, 200.0, 400.0, 800.0),
             List.of(0.22, 0.5, 0.8, 1.0), 7), new LinkTerms(1e6 * hosts, 0, 1e6 * hosts, 3, hosts, false),
             new LegTerms(4, 5, 0.2, 10_000), new ColdTerms(0.2, 1, 3, 1), new ShedTerms(2000),
-            new ReportTerms(false, 0.01, 0, false, false, 0), new MoveTerms(0.2, 0), List.of(), new Out(), listened ? ear : null);
+            new ReportTerms(false, 0.01, 0, false, false), new MoveTerms(0.2, 0), List.of(), new Out(), listened ? ear : null);
         List<HostLine> lines = new ArrayList<>();
         for (int i = 0; i < hosts; i++) {
             lines.add(new HostLine(new HostId("h" + i), new PlaceId("p"), 1_000_000, i, HostLine.Standing.READY, 1, 0));
--- a/record/src/main/java/walnutfield/record/Codec.java
+++ b/record/src/main/java/walnutfield/record/Codec.java
@@ -61,8 +61,6 @@
                 .setLoad(load(p.load()));
         } else if (c instanceof Call.Woke w) {
             b.setWoke(w.mark());
-        } else if (c instanceof Call.PeerSaid p) {
-            b.getPeerSaidBuilder().setPeer(p.peer()).setBytes(p.bytes());
         } else if (!StitchCodec.call(c, b)) {
             throw new IllegalStateException("a call that cannot be written: " + c);
         }
@@ -89,7 +87,6 @@
             case PROBED -> new Call.Probed(new HostId(c.getProbed().getHost()), Outcome.values()[c.getProbed().getHow()],
                 c.getProbed().getTookMs(), load(c.getProbed().getLoad()));
             case WOKE -> new Call.Woke(c.getWoke());
-            case PEER_SAID -> new Call.PeerSaid(c.getPeerSaid().getPeer(), c.getPeerSaid().getBytes());
             default -> {
                 Call beside = StitchCodec.call(c);
                 if (beside == null) {
@@ -120,8 +117,6 @@
             b.getWakeBuilder().setTimeMs(w.time()).setMark(w.mark());
         } else if (r instanceof Result.Noted n) {
             b.setNoted(n.line());
-        } else if (r instanceof Result.Said s) {
-            b.getSaidBuilder().setPeer(s.peer()).setBytes(s.bytes());
         } else if (!StitchCodec.result(r, b)) {
             throw new IllegalStateException("a result that cannot be written: " + r);
         }
--- a/record/src/main/java/walnutfield/record/Making.java
+++ b/record/src/main/java/walnutfield/record/Making.java
@@ -40,8 +40,7 @@
         b.getColdBuilder().setFrom(cold.from()).setWarmMs(cold.warmMs()).setMultiple(cold.multiple())
             .setFallMs(cold.fallMs());
         b.getReportsBuilder().setMayProbe(reports.mayProbe()).setProbePrice(reports.probePrice())
-            .setToldLateMs(reports.toldLateMs()).setAskForList(reports.askForList())
-            .setMaySay(reports.maySay()).setSayPrice(reports.sayPrice());
+            .setToldLateMs(reports.toldLateMs()).setAskForList(reports.askForList()).setInAnswers(reports.inAnswers());
         shares.forEach(s -> b.addSharesBuilder().setCustomer(s.customer().value()).setPlaysPerS(s.playsPerS())
             .setBeyond(s.beyond()));
         head = b.build();
@@ -88,8 +87,7 @@
                 head.getCold().getFallMs()),
             new ShedTerms(head.getMostHoldOffMs()),
             new ReportTerms(head.getReports().getMayProbe(), head.getReports().getProbePrice(),
-                head.getReports().getToldLateMs(), head.getReports().getAskForList(),
-                head.getReports().getMaySay(), head.getReports().getSayPrice()),
+                head.getReports().getToldLateMs(), head.getReports().getAskForList(), head.getReports().getInAnswers()),
             new MoveTerms(head.getMovePrice(), head.getCrossingPrice()),
             head.getSharesList().stream().map(s -> new Share(new CustomerId(s.getCustomer()), s.getPlaysPerS(),
                 s.getBeyond())).toList(), out, carrier, listener);
--- a/record/src/test/java/walnutfield/record/DeskDay.java
+++ b/record/src/test/java/walnutfield/record/DeskDay.java
@@ -35,7 +35,7 @@
         return new Making("gw", "test", 0, new Post(seed, 0, 3, new PlaceId("p")),
             new Ladder(List.of(100.0, 200.0, 400.0), List.of(0.4, 0.7, 1.0), 8),
             new LinkTerms(4000.0 * HOSTS, 0, 9000, 2, HOSTS, false), new LegTerms(3, 5, 0.2, 10_000),
-            new ColdTerms(0.2, 3000, 3, 1000), new ShedTerms(2000), new ReportTerms(true, 0.01, 200, false, false, 0),
+            new ColdTerms(0.2, 3000, 3, 1000), new ShedTerms(2000), new ReportTerms(true, 0.01, 200, false, false),
             new MoveTerms(0.02, 0), List.of(new Share(new CustomerId("c"), 1, 0.1)));
     }
 
--- a/record/src/test/java/walnutfield/record/RecordTest.java
+++ b/record/src/test/java/walnutfield/record/RecordTest.java
@@ -174,7 +174,7 @@
         Making other = new Making("x", "y", 0, null0(), new walnutfield.play.Ladder(List.of(100.0, 200.0, 400.0),
             List.of(0.4, 0.7, 1.0), 8), new walnutfield.play.LinkTerms(800.0 * DeskDay.HOSTS, 0, 9000, 2, DeskDay.HOSTS,
                 false), new LegTerms(1, 0, 0, 10_000), new walnutfield.play.ColdTerms(0.2, 3000, 3, 1000),
-            new walnutfield.play.ShedTerms(2000), new walnutfield.play.ReportTerms(true, 0.01, 200, false, false, 0),
+            new walnutfield.play.ShedTerms(2000), new walnutfield.play.ReportTerms(true, 0.01, 200, false, false),
             new walnutfield.play.MoveTerms(0.02, 0), List.of());
         Replay.Report r = Replay.run(file, m -> m.with(other), null, null);
         assertTrue(r.different() > 50, r.toString());
