--- a/app/src/main/java/walnutfield/app/Script.java
+++ b/app/src/main/java/walnutfield/app/Script.java
@@ -161,7 +161,7 @@
             int life = ++lives[me];
             Recorder recorder = records == null ? null : new Recorder(records.resolve(name + (life > 1 ? "-" + life : "")
                 + ".record"), making, RECORD_BYTES, RECORD_MS);
-            GatewayServer g = new GatewayServer(name, front, sip, hosts, new Terms.Lists(service, null, 500), catalogue,
+            GatewayServer g = new GatewayServer(name, front, sip, hosts, new Terms.Lists(service, null, 500, null), catalogue,
                 registry, () -> "", (out, beside) -> making.desk(out, beside, recorder));
             g.schedule(inserts);
             return new Gate(g, g.start(), recorder);
--- a/app/src/main/java/walnutfield/app/Settings.java
+++ b/app/src/main/java/walnutfield/app/Settings.java
@@ -139,8 +139,12 @@
             throw l.bad("port " + port + " is none");
         }
         String kept = l.text("kept");
+        String learnt = l.text("learnt");
+        if (!learnt.isEmpty() && Path.of(learnt).normalize().equals(Path.of(kept).normalize())) {
+            throw l.bad("the list and what was learnt are kept in one file, " + kept);
+        }
         return new Terms.Lists(new InetSocketAddress(a.substring(0, colon), port),
-            kept.isEmpty() ? null : Path.of(kept), l.number("retry-ms"));
+            kept.isEmpty() ? null : Path.of(kept), l.number("retry-ms"), learnt.isEmpty() ? null : Path.of(learnt));
     }
 
     static Catalogue catalogue(Xml root, Ladder ladder, Map<String, Band> bands) throws BadSettings {
--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -735,6 +735,45 @@
         return now > stoodTo ? now : stoodFrom;
     }
 
+    // ---- What the next life of this gateway may know
+
+    /** Facts of others that still mean the same then; own load, plays, seats, reports and answer times do not. */
+    public Learnt learnt(double now) {
+        List<Learnt.Uplink> uplinks = fleet.racks().entrySet().stream()
+            .map(r -> new Learnt.Uplink(r.getKey(), r.getValue().narrow(LEARNT_MS, now)))
+            .filter(u -> Math.abs(u.narrow() - 1) > LEARN * LEARN).toList();
+        List<Learnt.Doubted> hosts = fleet.all().stream()
+            .filter(h -> h.suspect || now - h.coldSince < cold.warmMs())
+            .map(h -> new Learnt.Doubted(h.id, h.line.launched(), h.suspect, h.silent, h.retryAt,
+                Math.max(0, h.coldSince))).toList();
+        return new Learnt(now, life, uplinks, hosts);
+    }
+
+    /** It only adds doubt: no host is sounder, warmer or less full for it. Guards against a start that finds each
+     *  bad host and narrow rack out anew; it harms where they mended meanwhile, and no longer than in one life. */
+    public void learntTaken(double now, Learnt was) {
+        turn(now);
+        double age = now - was.at();
+        if (!(age >= 0 && age <= LEARNT_MS)) {
+            if (was.at() > 0) {
+                out.log("what was learnt " + age + " ms ago is too old or of another clock: starting afresh");
+            }
+            return;
+        }
+        life = was.life() > 0 ? was.life() : life;
+        was.uplinks().stream().filter(u -> u.rack() >= 0 && u.rack() < links.racks())
+            .forEach(u -> fleet.rack(u.rack()).learn(Math.min(NARROW_MOST, Math.max(0, u.narrow())), was.at()));
+        for (Learnt.Doubted d : was.hosts()) {
+            Host h = fleet.get(d.host());
+            if (h != null && h.line.launched() == d.launched()) { // else it is another life of the host
+                h.suspect |= d.suspect();
+                h.silent |= d.silent();
+                h.retryAt = Math.max(h.retryAt, Math.min(d.retryAt(), now + SUSPECT_MS));
+                h.coldSince = Math.max(h.coldSince, Math.min(d.coldSince(), now));
+            }
+        }
+    }
+
     // ---- What is looked at again and again
 
     public void woke(double now, String mark) {
--- a/core/src/main/java/walnutfield/decide/Fleet.java
+++ b/core/src/main/java/walnutfield/decide/Fleet.java
@@ -39,6 +39,10 @@
         return racks.computeIfAbsent(Math.floorMod(cell, racksInAll), k -> new Rack());
     }
 
+    Map<Integer, Rack> racks() {
+        return racks;
+    }
+
     /** A host is forgotten when it is off the list and empty. */
     void drop(Host h) {
         if (h.line.standing() == HostLine.Standing.GONE && h.plays.isEmpty()) {
--- a/core/src/main/java/walnutfield/desk/Call.java
+++ b/core/src/main/java/walnutfield/desk/Call.java
@@ -7,6 +7,7 @@
 import walnutfield.play.CustomerId;
 import walnutfield.play.HostId;
 import walnutfield.play.HostLine;
+import walnutfield.play.Learnt;
 import walnutfield.play.Load;
 import walnutfield.play.Outcome;
 import walnutfield.play.PlayId;
@@ -59,6 +60,14 @@
         }
     }
 
+    /** What an earlier life of this gateway had learnt; told after a list, as it speaks of its hosts. */
+    record LearntTaken(Learnt learnt) implements Call {
+        @Override
+        public void tell(Director director, double now) {
+            director.learntTaken(now, learnt);
+        }
+    }
+
     /** The list service cannot be heard. */
     record ListLost() implements Call {
         @Override
--- a/core/src/main/java/walnutfield/desk/Desk.java
+++ b/core/src/main/java/walnutfield/desk/Desk.java
@@ -7,6 +7,7 @@
 import walnutfield.play.Gateway;
 import walnutfield.play.HostId;
 import walnutfield.play.Ladder;
+import walnutfield.play.Learnt;
 import walnutfield.play.LegTerms;
 import walnutfield.play.LinkTerms;
 import walnutfield.play.MoveTerms;
@@ -75,6 +76,11 @@
         call.tell(stitching, time);
     }
 
+    @Override
+    public Learnt learnt(double time) {
+        return director.learnt(time);
+    }
+
     /** Lets the listener see each result before it is carried out. */
     private final class Told implements Gateway {
         private void pass(Result result) {
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -125,6 +125,10 @@
         while (Clock.now() < until && ask(plays::unanswered) > 0) {
             pause();
         }
+        ask(() -> {
+            plays.end();
+            return 0;
+        });
         close();
         LOG.atInfo().addKeyValue("gateway", name).log("gateway ended");
     }
--- /dev/null
+++ b/gateway/src/main/java/walnutfield/gateway/LearntFile.java
@@ -0,0 +1,118 @@
+package walnutfield.gateway;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import walnutfield.play.HostId;
+import walnutfield.play.Learnt;
+
+/**
+ * What a gateway has learnt, in one small text file: a line with the version, one for each fact, and the check sum of
+ * all before it. It is written beside and moved over, so that a torn one is never read; one that is of another version,
+ * cut or changed is refused with its reason, and the gateway starts afresh.
+ */
+final class LearntFile {
+    private static final Logger LOG = LoggerFactory.getLogger(LearntFile.class);
+    private static final String VERSION = "walnutfield-learnt 1";
+    private static final int MOST_BYTES = 1 << 20;
+
+    private final Path file;
+
+    /**
+     * @param file null to keep none
+     */
+    LearntFile(Path file) {
+        this.file = file;
+    }
+
+    /** What was kept; nothing where there is no file, or a bad one, which one line of the log tells. */
+    Learnt read() {
+        if (file == null || !Files.exists(file)) {
+            return Learnt.NOTHING;
+        }
+        try {
+            if (Files.size(file) > MOST_BYTES) {
+                throw new IOException("over " + MOST_BYTES + " bytes");
+            }
+            return parse(Files.readString(file));
+        } catch (IOException | IllegalArgumentException e) {
+            LOG.atWarn().addKeyValue("file", file).addKeyValue("reason", e.getMessage()).log("learnt file not used");
+            return Learnt.NOTHING;
+        }
+    }
+
+    void write(Learnt learnt) {
+        if (file == null) {
+            return;
+        }
+        try {
+            Path next = file.resolveSibling(file.getFileName() + ".next");
+            Files.writeString(next, text(learnt));
+            Files.move(next, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+        } catch (IOException e) {
+            LOG.atError().addKeyValue("file", file).addKeyValue("reason", e.toString()).log("learnt not kept");
+        }
+    }
+
+    static String text(Learnt l) {
+        StringBuilder b = new StringBuilder(VERSION).append('\n').append("at ").append(l.at()).append('\n')
+            .append("life ").append(l.life()).append('\n');
+        l.uplinks().forEach(u -> b.append("uplink ").append(u.rack()).append(' ').append(u.narrow()).append('\n'));
+        l.hosts().forEach(h -> b.append("host ").append(h.host().value()).append(' ').append(h.launched()).append(' ')
+            .append(h.suspect()).append(' ').append(h.silent()).append(' ').append(h.retryAt()).append(' ')
+            .append(h.coldSince()).append('\n'));
+        return b + "end " + sum(b.toString()) + "\n";
+    }
+
+    static Learnt parse(String text) {
+        int end = text.lastIndexOf("end ");
+        if (!text.startsWith(VERSION + "\n")) {
+            throw new IllegalArgumentException("line 1: not " + VERSION);
+        }
+        if (end < 0 || !text.substring(end).equals("end " + sum(text.substring(0, end)) + "\n")) {
+            throw new IllegalArgumentException("cut or changed: its check sum does not fit");
+        }
+        double at = 0;
+        double life = 0;
+        List<Learnt.Uplink> uplinks = new ArrayList<>();
+        List<Learnt.Doubted> hosts = new ArrayList<>();
+        String[] lines = text.substring(0, end).split("\n");
+        for (int i = 1; i < lines.length; i++) {
+            String[] w = lines[i].split(" ");
+            try {
+                switch (w[0]) {
+                    case "at" -> at = finite(w[1]);
+                    case "life" -> life = finite(w[1]);
+                    case "uplink" -> uplinks.add(new Learnt.Uplink(Integer.parseInt(w[1]), finite(w[2])));
+                    case "host" -> hosts.add(new Learnt.Doubted(new HostId(w[1]), finite(w[2]),
+                        Boolean.parseBoolean(w[3]), Boolean.parseBoolean(w[4]), finite(w[5]), finite(w[6])));
+                    default -> throw new IllegalArgumentException("no such fact");
+                }
+            } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
+                throw new IllegalArgumentException("line " + (i + 1) + ": " + e.getMessage());
+            }
+        }
+        return new Learnt(at, life, uplinks, hosts);
+    }
+
+    private static double finite(String word) {
+        double v = Double.parseDouble(word);
+        if (!Double.isFinite(v)) {
+            throw new IllegalArgumentException(word + " is no figure");
+        }
+        return v;
+    }
+
+    private static String sum(String text) {
+        CRC32 crc = new CRC32();
+        crc.update(text.getBytes(StandardCharsets.UTF_8));
+        return Long.toHexString(crc.getValue());
+    }
+}
--- a/gateway/src/main/java/walnutfield/gateway/ListClient.java
+++ b/gateway/src/main/java/walnutfield/gateway/ListClient.java
@@ -19,6 +19,7 @@
 import walnutfield.net.Request;
 import walnutfield.play.HostId;
 import walnutfield.play.HostLine;
+import walnutfield.play.Learnt;
 import walnutfield.sse.Event;
 import walnutfield.sse.EventReader;
 
@@ -44,6 +45,7 @@
      * with no list and takes every host that may be cold for a warm one; it harms by a slow start where all are warm.
      */
     private boolean unproven;
+    private final LearntFile learnt;
     private Client.Sent open;
     private final Runnable changed;
 
@@ -58,6 +60,7 @@
         this.terms = terms;
         this.to = to;
         this.changed = changed;
+        learnt = new LearntFile(terms.learnt());
         via = "1.1 " + gateway;
     }
 
@@ -82,6 +85,9 @@
         }
         unproven = lines.isEmpty();
         to.accept(new Call.ListRemembered(lines));
+        if (!unproven) {
+            to.accept(new Call.LearntTaken(learnt.read()));
+        }
         connect();
     }
 
@@ -169,6 +175,9 @@
         List<HostLine> lines = l.hosts().stream().map(HostEntry::line).toList();
         to.accept(!l.whole() ? new Call.ListChanged(lines) : unproven ? new Call.ListRemembered(lines)
             : new Call.ListWhole(lines));
+        if (unproven) { // what was learnt speaks of hosts, which only now are known
+            to.accept(new Call.LearntTaken(learnt.read()));
+        }
         unproven = false;
         changed.run();
     }
@@ -179,6 +188,13 @@
         return e != null && e.line().standing() == HostLine.Standing.READY;
     }
 
+    /** Keeps what was learnt, once what was kept before has been read. */
+    void keep(Learnt now) {
+        if (!unproven) {
+            learnt.write(now);
+        }
+    }
+
     private void keep() {
         Path kept = terms.kept();
         if (kept == null) {
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -28,6 +28,7 @@
  */
 final class Plays implements Gateway {
     private static final Logger LOG = LoggerFactory.getLogger(Plays.class);
+    private static final double LEARNT_MS = 5_000; // what was learnt is kept so often
     private static final Logger ACCESS = LoggerFactory.getLogger("access");
 
     /** How a host is asked for its load, whatever protocol it speaks. */
@@ -70,6 +71,17 @@
     void begin(ListClient with) {
         list = with;
         list.remembered();
+        thread.at(thread.now() + LEARNT_MS, this::keepLearnt);
+    }
+
+    private void keepLearnt() {
+        list.keep(desk.learnt(thread.now()));
+        thread.at(thread.now() + LEARNT_MS, this::keepLearnt);
+    }
+
+    /** The last of it, when the gateway ends. */
+    void end() {
+        list.keep(desk.learnt(thread.now()));
     }
 
     void tell(Call call) {
--- a/gateway/src/main/java/walnutfield/gateway/Terms.java
+++ b/gateway/src/main/java/walnutfield/gateway/Terms.java
@@ -49,6 +49,7 @@
      *
      * @param kept    file of the last list; null to keep none
      * @param retryMs a lost list service is asked again after this
+     * @param learnt  file of what was learnt of the hosts; null to keep none
      */
-    public record Lists(InetSocketAddress service, Path kept, double retryMs) { }
+    public record Lists(InetSocketAddress service, Path kept, double retryMs, Path learnt) { }
 }
--- a/gateway/src/test/java/walnutfield/gateway/Outside.java
+++ b/gateway/src/test/java/walnutfield/gateway/Outside.java
@@ -88,6 +88,9 @@
         listPort = lists.bind(0);
     }
 
+    /** The file of what was learnt; null for none. */
+    Path learnt;
+
     /** The front for calls; null for none. */
     Terms.Sip sip;
 
@@ -112,7 +115,7 @@
         };
         gateway = new GatewayServer("gw", new Terms.Front(0, 1, LIMITS, queue, 1200, 3, 2, 3, 60_000), sip,
             new Terms.Hosts(new Client.Terms(1000, 5000, 8, 16_384, 1 << 20), 1, 500, 700),
-            new Terms.Lists(new InetSocketAddress("127.0.0.1", listPort), kept, 100),
+            new Terms.Lists(new InetSocketAddress("127.0.0.1", listPort), kept, 100, learnt),
             new Catalogue(titles, bands, LADDER), new SimpleMeterRegistry(), () -> "",
             (to, beside) -> new Desk(new Post(5, 0, 1, new PlaceId("p")), LADDER,
                 new LinkTerms(4000.0 * hosts.size(), 0, 0, 1, hosts.size(), false), new LegTerms(3, 5, 0.2, 10_000),
--- a/record/src/main/java/walnutfield/record/Codec.java
+++ b/record/src/main/java/walnutfield/record/Codec.java
@@ -8,6 +8,7 @@
 import walnutfield.play.CustomerId;
 import walnutfield.play.HostId;
 import walnutfield.play.HostLine;
+import walnutfield.play.Learnt;
 import walnutfield.play.Load;
 import walnutfield.play.Outcome;
 import walnutfield.play.PlaceId;
@@ -61,6 +62,8 @@
                 .setLoad(load(p.load()));
         } else if (c instanceof Call.Woke w) {
             b.setWoke(w.mark());
+        } else if (c instanceof Call.LearntTaken l) {
+            b.setLearntTaken(learnt(l.learnt()));
         } else if (!StitchCodec.call(c, b)) {
             throw new IllegalStateException("a call that cannot be written: " + c);
         }
@@ -87,6 +90,7 @@
             case PROBED -> new Call.Probed(new HostId(c.getProbed().getHost()), Outcome.values()[c.getProbed().getHow()],
                 c.getProbed().getTookMs(), load(c.getProbed().getLoad()));
             case WOKE -> new Call.Woke(c.getWoke());
+            case LEARNT_TAKEN -> new Call.LearntTaken(learnt(c.getLearntTaken()));
             default -> {
                 Call beside = StitchCodec.call(c);
                 if (beside == null) {
@@ -180,6 +184,22 @@
             d.getFloor(), d.getTop(), d.getSeats());
     }
 
+    private static walnutfield.record.wire.Learnt learnt(Learnt l) {
+        walnutfield.record.wire.Learnt.Builder b = walnutfield.record.wire.Learnt.newBuilder().setAtMs(l.at())
+            .setLifeMs(l.life());
+        l.uplinks().forEach(u -> b.addUplinksBuilder().setRack(u.rack()).setNarrow(u.narrow()));
+        l.hosts().forEach(h -> b.addHostsBuilder().setHost(h.host().value()).setLaunched(h.launched())
+            .setSuspect(h.suspect()).setSilent(h.silent()).setRetryAt(h.retryAt()).setColdSince(h.coldSince()));
+        return b.build();
+    }
+
+    private static Learnt learnt(walnutfield.record.wire.Learnt l) {
+        return new Learnt(l.getAtMs(), l.getLifeMs(),
+            l.getUplinksList().stream().map(u -> new Learnt.Uplink(u.getRack(), u.getNarrow())).toList(),
+            l.getHostsList().stream().map(h -> new Learnt.Doubted(new HostId(h.getHost()), h.getLaunched(),
+                h.getSuspect(), h.getSilent(), h.getRetryAt(), h.getColdSince())).toList());
+    }
+
     private static walnutfield.record.wire.Load load(Load l) {
         return walnutfield.record.wire.Load.newBuilder().setLink(l.link()).setUplink(l.uplink()).setStreams(l.streams())
             .build();
