--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -23,7 +23,7 @@
     private static final double MOVE_WORTH = 1.5;   // a move must save so many times its price
     private static final double MARK = 0.65;        // use up to which a new play gets its top rung
     private static final double STEP = 0.14;        // and one rung less for each such step above
-    private static final double HIGH = 1.08;        // use from which playing plays are stepped down
+    private static final double HIGH = 1.03;        // use from which playing plays are stepped down
     private static final double CUT_TO = 0.95;      // and to which
     private static final double FULL = 1.00;        // use over which no play is let in at any rung
     private static final double RAISE_UNDER = 0.10; // unsure, steps up stay so much under their mark
