One draw a choice in place of one a host: a cold host was pushed over

Cause: of 109 hosts that gateways just started had heard nothing of one got 22 legs of 280 in 1.5 s, none of them after a probe: chances drawn one after the other from CRC32 are not independent, so that fresh gateways with the same counters drew the same place of the list. Dropped: the unproven pace (the same as before), probes that show an empty host (none was sent there).

--- a/app/src/test/java/walnutfield/app/CommandsTest.java
+++ b/app/src/test/java/walnutfield/app/CommandsTest.java
@@ -65,6 +65,22 @@
         assertTrue(e.getMessage().contains("gateway 5 is not among"), e.getMessage());
     }
 
+    /** A change of good settings of a gateway, and the reason that it is refused with. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "kept=\"gw0.hosts\"|kept=\"gw0.hosts\" learnt=\"./gw0.hosts\"|the list and what was learnt are kept in one file",
+        "<moves/>|<moves crossing-price=\"2\"/>|'2' is not facet-valid",
+        "<reports/>|<reports in-answers=\"perhaps\"/>|'perhaps' is not a valid value",
+        "<reports/>|<reports say=\"true\"/>|'say' is not allowed"})
+    void wrongSettingsOfAGatewayAreRefused(String from, String to, String reason) throws IOException {
+        String good = Files.readString(Path.of("..", "deploy", "gateway.xml"));
+        assertTrue(good.contains(from), from);
+        BadSettings e = assertThrows(BadSettings.class,
+            () -> Settings.check(Xml.parse("g.xml", good.replace(from, to), "gateway")));
+        assertTrue(e.getMessage().matches("(?s)g\\.xml:[0-9]+: .*"), e.getMessage());
+        assertTrue(e.getMessage().contains(reason), e.getMessage());
+    }
+
     @Test
     void theShortDayKeepsEveryRule() {
         int status = run("rehearse", SCRIPTS.resolve("short.xml").toString());
--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -527,8 +527,9 @@
      *  the holders that no fresh figure tells of only one counts, drawn at odds by its spare rate. Guards against
      *  gateways that know nothing of many hosts and would all take the largest; it harms where a guess tells well. */
     private Host best(Play p, double now, Host not) {
-        Host best = null, drawn = null;
-        double most = Double.NEGATIVE_INFINITY, soonest = Double.POSITIVE_INFINITY, drawnScore = 0;
+        Host best = null;
+        double most = Double.NEGATIVE_INFINITY, odds = 0;
+        Map<Host, Double> unheard = new LinkedHashMap<>();
         for (Host h : fleet.holders(p.wish.firstCell(), p.wish.holders())) {
             boolean doubted = h.suspect && now < h.retryAt + LAPSE_MS;
             String why = h == not ? "left" : !h.ready() ? "not ready" : p.tried.contains(h) ? "tried"
@@ -543,12 +544,8 @@
             boolean last = doubted && now < h.retryAt || h.probeOut && now - h.probedAt >= ASK_MS;
             weighed(p, h, null, score, now);
             if (!last && h.link.weight(FADE_MS, now) < SURE && post.gateways() > 1) {
-                double turn = -Math.log(1 - chance.next()) / Math.max(LEAST_SPARE, score);
-                if (turn < soonest) {
-                    soonest = turn;
-                    drawn = h;
-                    drawnScore = score;
-                }
+                odds += Math.max(LEAST_SPARE, score);
+                unheard.put(h, score);
                 continue;
             }
             score -= last ? LAST_RESORT : 0;
@@ -557,7 +554,14 @@
                 best = h;
             }
         }
-        return drawn != null && drawnScore > most ? drawn : best;
+        double at = unheard.isEmpty() ? 0 : odds * chance.next(); // one draw: chances of a row are not independent
+        for (Map.Entry<Host, Double> u : unheard.entrySet()) {
+            at -= Math.max(LEAST_SPARE, u.getValue());
+            if (at < 0) {
+                return u.getValue() > most ? u.getKey() : best;
+            }
+        }
+        return best;
     }
 
     private void weighed(Play p, Host h, String not, double score, double now) {
--- a/core/src/test/java/walnutfield/Bench.java
+++ b/core/src/test/java/walnutfield/Bench.java
@@ -26,10 +26,14 @@
     }
 
     Bench(long seed, int gateways, LegTerms legs, double coldMs, boolean probes) {
+        this(seed, gateways, legs, coldMs, new ReportTerms(probes, 0.01, 0, probes, false), new MoveTerms(0.05, 0));
+    }
+
+    Bench(long seed, int gateways, LegTerms legs, double coldMs, ReportTerms reports, MoveTerms moves) {
         director = new Director(new Post(seed, 0, gateways, new PlaceId("p")),
             new Ladder(List.of(100.0, 200.0, 400.0, 900.0), List.of(0.25, 0.5, 0.8, 1.0), 8),
             new LinkTerms(24_000, 0, 12_000, 2, 6, false), legs, new ColdTerms(0.5, coldMs, 3, 2000),
-            new ShedTerms(2000), new ReportTerms(probes, 0.01, 0, probes, false), new MoveTerms(0.05, 0),
+            new ShedTerms(2000), reports, moves,
             List.of(new Share(CUSTOMER, 0.2, 0.1)), this);
         director.listRemembered(now, fleet(0));
     }
--- a/core/src/test/java/walnutfield/DirectorTest.java
+++ b/core/src/test/java/walnutfield/DirectorTest.java
@@ -603,4 +603,85 @@
         plays.forEach(p -> b.end(p, 0, b.sentTo(p), Outcome.FAILED, false));
         assertEquals(further, b.count("set up") - first);
     }
+
+    /** Gateways that have all just started and heard nothing spread over the hosts, from their first play on. */
+    @ParameterizedTest
+    @CsvSource({"1", "2", "5"})
+    void gatewaysThatHeardNothingSpreadEvenly(int nth) {
+        int[] taken = new int[6];
+        for (long seed = 1; seed <= 600; seed++) {
+            Bench b = Bench.amongMany(seed * 0x9E3779B97F4A7C15L, 0, false);
+            PlayId p = null;
+            for (int i = 0; i < nth; i++) {
+                p = b.want(FREE, 0, 6, 4000);
+            }
+            taken[b.sentTo(p)]++;
+        }
+        for (int n : taken) {
+            assertTrue(n > 60 && n < 140, java.util.Arrays.toString(taken));
+        }
+    }
+
+    /** Use of the host here and of the one elsewhere, price of crossing, and which is taken. */
+    @ParameterizedTest
+    @CsvSource({"0.5, 0.4, 0, 1", "0.5, 0.4, 0.02, 0", "0.7, 0.35, 0.02, 1", "0.5, 0.5, 0.02, 0"})
+    void spareRateElsewhereCountsLess(double here, double there, double price, int taken) {
+        Bench b = new Bench(5, 1, new LegTerms(4, 0, -1, 0), 0, new ReportTerms(false, 0, 0, false, false),
+            new MoveTerms(0.05, price));
+        HostLine l = Bench.line(1, HostLine.Standing.READY, 0);
+        b.director.listChanged(b.now, List.of(new HostLine(l.host(), new PlaceId("q"), 40, 1, l.standing(), 1, 0)));
+        b.links(here, there, 0.9);
+        assertEquals(taken, b.sentTo(b.want(FREE, 4000)));
+    }
+
+    /** How long ago the last share spoke for rack 1's uplink, and whether its host is still left: it fades in a minute. */
+    @ParameterizedTest
+    @CsvSource({"1000, 0", "25000, 0", "600000, 1"})
+    void aNarrowUplinkIsRememberedLongerThanItsFigure(double later, int taken) {
+        Bench b = Bench.plain();
+        b.underWay(FREE, 1, 2);
+        b.underWay(FREE, 3, 2);
+        for (int i = 0; i < 30; i++) {
+            b.links(0.5, 0.45, 0.6, 0.45, 0.6, 0.45);
+            b.director.shareTold(b.now, Bench.host(1), 0.7);
+            b.director.shareTold(b.now, Bench.host(3), 0.7);
+            b.pass(1000);
+        }
+        b.pass(later);
+        b.links(0.5, 0.45, 0.6, 0.45, 0.6, 0.45);
+        assertEquals(taken, b.sentTo(b.want(FREE, 4000)));
+    }
+
+    /** With load told in answers too a play earns a quarter of the probes. */
+    @ParameterizedTest
+    @CsvSource({"false, 30, 60", "true, 5, 20"})
+    void fewerProbesWhereAnswersTellLoad(boolean inAnswers, int least, int most) {
+        Bench b = new Bench(7, 200, new LegTerms(4, 0, -1, 0), 0, new ReportTerms(true, 0.02, 0, false, inAnswers),
+            new MoveTerms(0.05, 0));
+        for (int i = 0; i < 60; i++) {
+            PlayId p = b.want(FREE, 0, 6, 4000);
+            for (int h = 0; h < 6; h++) { // each probe is answered
+                b.director.probed(b.now, Bench.host(h), Outcome.SERVED, 1, new Load(0.5, Double.NaN, Double.NaN));
+            }
+            b.pass(2000);
+            b.director.gaveUp(b.now, p);
+        }
+        long sent = b.count("probe");
+        assertTrue(sent >= least && sent <= most, "probes " + sent);
+    }
+
+    /** A share of so much: at 0.97 plays are stepped down, at 0.98 nothing is short. */
+    @ParameterizedTest
+    @CsvSource({"0.96, true", "0.98, false"})
+    void aSmallShortageStepsPlaysDown(double share, boolean down) {
+        Bench b = Bench.plain();
+        PlayId p = b.underWay(FREE, 0, 3);
+        b.pass(11_000);
+        b.out.clear();
+        for (int i = 0; i < 12; i++) {
+            b.director.shareTold(b.now, Bench.host(0), share);
+            b.pass(1000);
+        }
+        assertEquals(down, b.count("rung " + p.value()) > 0, b.out.toString());
+    }
 }
