--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -31,7 +31,7 @@
     private static final double RAISE_MS = 4_000;   // a host's plays are stepped up so often at most
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
     private static final double LEARNT_MS = 60_000; // what was learnt of an uplink falls by e in this time
-    private static final double LEARN = 0.1;        // part of what a figure tells over the guess that is learnt
+    private static final double LEARN = 0.1;        // part of a figure's difference that is learnt
     private static final double NARROW_MOST = 2.5;  // no uplink is reckoned so many times narrower than told
     private static final double TOGETHER_MS = 2_500; // hosts short within this are short together
     private static final double SURE = 0.5, ROOMY = 0.95; // a link report of this weight and use denies it
@@ -41,7 +41,7 @@
     private static final double SELF = 0.3;         // weight of what own plays tell of the average
     private static final double FEW = 10;           // own plays that tell as much of the fleet as a guess
     private static final double LEAST_SPARE = 0.01; // no holder's odds of being drawn are by less
-    private static final double CROSSING = 50;      // spare rate in another place counts so little, times its price
+    private static final double CROSSING = 50;      // times its price: how much less spare rate abroad counts
     private static final double UNSURE = 0.30;      // use over the guess that a new play's rung allows for
     private static final double PROBE_PRICE = 0.02; // a play earns a probe at this price, more where cheaper
     private static final double ANSWERS = 0.25;    // and so much of it where answers tell load too
@@ -249,7 +249,8 @@
     }
 
     private double uplinkGuess(Rack r, double now) {
-        return r.hosts.stream().mapToDouble(h -> h.silent ? 0 : linkUse(h, now) * size(h, now)).sum() / r.uplinkKb;
+        double sum = r.hosts.stream().mapToDouble(h -> h.silent ? 0 : linkUse(h, now) * size(h, now)).sum();
+        return sum / r.uplinkKb;
     }
 
     /** Exception: what figures tell of an uplink over its guess is kept for longer than they. Guards against
@@ -343,7 +344,8 @@
     }
 
     private void earnProbes() {
-        double earned = PROBE_PRICE * (reports.inAnswers() ? ANSWERS : 1) * unsure() / Math.max(1e-9, reports.probePrice());
+        double spent = PROBE_PRICE * (reports.inAnswers() ? ANSWERS : 1) * unsure();
+        double earned = spent / Math.max(1e-9, reports.probePrice());
         probeTokens = Math.min(PROBES_SAVED, probeTokens + earned);
     }
 
@@ -524,8 +526,8 @@
     }
 
     /** The holder with the best score; a suspect before its time only where there is no other. Exception: of
-     *  the holders that no fresh figure tells of only one counts, drawn at odds by its spare rate. Guards against
-     *  gateways that know nothing of many hosts and would all take the largest; it harms where a guess tells well. */
+     *  the holders that no fresh figure tells of one counts, drawn at odds by its spare rate. Guards against
+     *  gateways that know nothing of many hosts and all take the largest; it harms where guesses are good. */
     private Host best(Play p, double now, Host not) {
         Host best = null;
         double most = Double.NEGATIVE_INFINITY, odds = 0;
@@ -554,7 +556,7 @@
                 best = h;
             }
         }
-        double at = unheard.isEmpty() ? 0 : odds * chance.next(); // one draw: chances of a row are not independent
+        double at = unheard.isEmpty() ? 0 : odds * chance.next(); // once: chances in a row hang together
         for (Map.Entry<Host, Double> u : unheard.entrySet()) {
             at -= Math.max(LEAST_SPARE, u.getValue());
             if (at < 0) {
@@ -573,14 +575,15 @@
     }
 
     /** The design's score: spare rate, in plays at the middle rate, plus 1 over the percentage of streams.
-     *  Exception: spare rate in another place counts less, by the price of crossing. Guards against that price
-     *  and against places cut off or lost; it harms where viewers crowd into one place. */
+     *  Exception: spare rate in another place counts less, by the price of crossing. Guards against it and
+     *  against places cut off or lost; it harms where viewers crowd into one place. */
     private double score(Host h, double now) {
         double spare = Math.min(size(h, now) * (1 - linkUse(h, now)),
             h.rack.uplinkKb * (1 - uplinkUse(h.rack, now)));
         double percent = h.line.slots() > 0 ? 100 * streams(h, now) / h.line.slots() : 100;
         boolean here = h.line.place().equals(post.place());
-        return spare / middleKb / (here || spare < 0 ? 1 : 1 + CROSSING * moves.crossing()) + 1 / Math.max(1, percent);
+        double away = here || spare < 0 ? 1 : 1 + CROSSING * moves.crossing();
+        return spare / middleKb / away + 1 / Math.max(1, percent);
     }
 
     /** When a host may next be sent a set-up: a cold or unproven one at our part of a safe pace. Where that
@@ -741,7 +744,7 @@
 
     // ---- What the next life of this gateway may know
 
-    /** Facts of others that still mean the same then; own load, plays, seats, reports and answer times do not. */
+    /** Facts of others that still mean the same; own load, plays, seats, reports and answer times do not. */
     public Learnt learnt(double now) {
         List<Learnt.Uplink> uplinks = fleet.racks().entrySet().stream()
             .map(r -> new Learnt.Uplink(r.getKey(), r.getValue().narrow(LEARNT_MS, now)))
@@ -753,8 +756,8 @@
         return new Learnt(now, life, uplinks, hosts);
     }
 
-    /** It only adds doubt: no host is sounder, warmer or less full for it. Guards against a start that finds each
-     *  bad host and narrow rack out anew; it harms where they mended meanwhile, and no longer than in one life. */
+    /** It only adds doubt: no host is sounder, warmer or less full for it. Guards against a start that finds
+     *  each bad host and narrow rack out anew; it harms where they mended meanwhile, as in one life. */
     public void learntTaken(double now, Learnt was) {
         turn(now);
         double age = now - was.at();
@@ -766,7 +769,8 @@
         }
         life = was.life() > 0 ? was.life() : life;
         was.uplinks().stream().filter(u -> u.rack() >= 0 && u.rack() < links.racks())
-            .forEach(u -> fleet.rack(u.rack()).learn(Math.min(NARROW_MOST, Math.max(0, u.narrow())), was.at()));
+            .forEach(u -> fleet.rack(u.rack())
+                .learn(Math.min(NARROW_MOST, Math.max(0, u.narrow())), was.at()));
         for (Learnt.Doubted d : was.hosts()) {
             Host h = fleet.get(d.host());
             if (h != null && h.line.launched() == d.launched()) { // else it is another life of the host
--- a/gateway/src/test/java/walnutfield/gateway/LearntFileTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/LearntFileTest.java
@@ -57,6 +57,15 @@
         assertThrows(IllegalArgumentException.class, () -> LearntFile.parse(text));
     }
 
+    private static Outside up(Path file) throws Exception {
+        Outside o = new Outside(2);
+        o.learnt = file;
+        o.start(100, null);
+        o.follow();
+        o.tellAll();
+        return o;
+    }
+
     /** The next life of a gateway leaves a suspect host alone; with a bad file it starts afresh and serves. */
     @ParameterizedTest
     @CsvSource({"true", "false"})
@@ -66,12 +75,7 @@
         String text = LearntFile.text(new Learnt(now, 30_000, List.of(), List.of(
             new Learnt.Doubted(new HostId("h0"), 0, true, true, now + 60_000, 0))));
         Files.writeString(file, good ? text : text.substring(0, text.length() - 3));
-        Outside o = new Outside(2);
-        o.learnt = file;
-        try (o) {
-            o.start(100, null);
-            o.follow();
-            o.tellAll();
+        try (Outside o = up(file)) {
             o.until("LearntTaken[learnt=Learnt[at=" + (good ? now : 0.0));
             o.ask("paid", 1);
             Came first = o.next("POST /S");
@@ -85,12 +89,7 @@
     @Test
     void aGatewayThatDrainsKeepsWhatItLearnt(@TempDir Path dir) throws Exception {
         Path file = dir.resolve("gw.learnt");
-        Outside o = new Outside(2);
-        o.learnt = file;
-        try (o) {
-            o.start(100, null);
-            o.follow();
-            o.tellAll();
+        try (Outside o = up(file)) {
             o.ask("free", 1);
             Came first = o.next("POST /S");
             o.cut(first.host());
--- a/record/src/main/java/walnutfield/record/WhatIf.java
+++ b/record/src/main/java/walnutfield/record/WhatIf.java
@@ -151,7 +151,7 @@
             add(time, new Call.ListWhole(kept(l.lines())));
         } else if (call instanceof Call.ListChanged l) {
             add(time, new Call.ListChanged(kept(l.lines())));
-        } else if (call instanceof Call.ShareTold || call instanceof Call.LoadTold
+        } else if (call instanceof Call.ShareTold || call instanceof Call.LoadTold || call instanceof Call.LearntTaken
             || call instanceof Call.WishTaken w && !w.wish().moved() || call instanceof Call.UnderWay || call instanceof Call.ListLost) {
             add(time, call);
         }
--- a/record/src/test/java/walnutfield/record/DeskDay.java
+++ b/record/src/test/java/walnutfield/record/DeskDay.java
@@ -54,6 +54,9 @@
             all.add(line(i, HostLine.Standing.READY));
         }
         add(0, new Call.ListRemembered(all));
+        add(0, new Call.LearntTaken(new Learnt(now - 500, 2000, List.of(new Learnt.Uplink(1, 1.3)),
+            List.of(new Learnt.Doubted(new HostId("h0"), 0, true, true, now + 900, 0),
+                new Learnt.Doubted(new HostId("h2"), 0, false, false, 0, now - 100)))));
         add(1, new Call.ListWhole(all));
         double at = 5;
         for (int i = 1; i <= wishes; i++) {
