One way to keep a small file; what was learnt is asked for only where it is kept

Found on reading the change again. Writing beside and moving over stood twice (list, learnt): KeptFile serves both. What was learnt was gathered every 5 s even where no file is set, and by two copies of one line: gathered on demand, in one place. The module's uplinkTold took a time that was always that of the call. The mark for an uplink worth telling was LEARN squared: it is HEARD_LEAST, of the same value.

--- a/app/src/main/java/walnutfield/app/Settings.java
+++ b/app/src/main/java/walnutfield/app/Settings.java
@@ -144,7 +144,12 @@
             throw l.bad("the list and what was learnt are kept in one file, " + kept);
         }
         return new Terms.Lists(new InetSocketAddress(a.substring(0, colon), port),
-            kept.isEmpty() ? null : Path.of(kept), l.number("retry-ms"), learnt.isEmpty() ? null : Path.of(learnt));
+            file(kept), l.number("retry-ms"), file(learnt));
+    }
+
+    /** A file that is kept; null for none. */
+    private static Path file(String name) {
+        return name.isEmpty() ? null : Path.of(name);
     }
 
     static Catalogue catalogue(Xml root, Ladder ladder, Map<String, Band> bands) throws BadSettings {
--- a/app/src/test/java/walnutfield/app/CommandsTest.java
+++ b/app/src/test/java/walnutfield/app/CommandsTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import picocli.CommandLine;
@@ -47,8 +48,13 @@
         String good = Files.readString(SCRIPTS.resolve("short.xml"));
         assertTrue(good.contains(from), from);
         String bad = good.replace(from, to == null ? "" : to);
-        BadSettings e = assertThrows(BadSettings.class, () -> read(bad));
-        assertTrue(e.getMessage().matches("(?s)day\\.xml:[0-9]+: .*"), e.getMessage());
+        refused("day", () -> read(bad), reason);
+    }
+
+    /** Refused with the file's name, a line and that reason. */
+    private static void refused(String file, Executable read, String reason) {
+        BadSettings e = assertThrows(BadSettings.class, read);
+        assertTrue(e.getMessage().matches("(?s)" + file + "\\.xml:[0-9]+: .*"), e.getMessage());
         assertTrue(e.getMessage().contains(reason), e.getMessage());
     }
 
@@ -58,27 +64,18 @@
         assertTrue(e.getMessage().contains("DOCTYPE"), e.getMessage());
     }
 
-    @Test
-    void aGatewayAmongFewerIsRefused() {
-        BadSettings e = assertThrows(BadSettings.class, () -> Settings.post(Xml.parse("g.xml", Files.readString(
-            Path.of("..", "deploy", "gateway.xml")).replace("me=\"0\"", "me=\"5\""), "gateway")));
-        assertTrue(e.getMessage().contains("gateway 5 is not among"), e.getMessage());
-    }
-
     /** A change of good settings of a gateway, and the reason that it is refused with. */
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "kept=\"gw0.hosts\"|kept=\"gw0.hosts\" learnt=\"./gw0.hosts\"|the list and what was learnt are kept in one file",
         "<moves/>|<moves crossing-price=\"2\"/>|'2' is not facet-valid",
         "<reports/>|<reports in-answers=\"perhaps\"/>|'perhaps' is not a valid value",
-        "<reports/>|<reports say=\"true\"/>|'say' is not allowed"})
+        "<reports/>|<reports say=\"true\"/>|'say' is not allowed",
+        "me=\"0\"|me=\"5\"|gateway 5 is not among"})
     void wrongSettingsOfAGatewayAreRefused(String from, String to, String reason) throws IOException {
         String good = Files.readString(Path.of("..", "deploy", "gateway.xml"));
         assertTrue(good.contains(from), from);
-        BadSettings e = assertThrows(BadSettings.class,
-            () -> Settings.check(Xml.parse("g.xml", good.replace(from, to), "gateway")));
-        assertTrue(e.getMessage().matches("(?s)g\\.xml:[0-9]+: .*"), e.getMessage());
-        assertTrue(e.getMessage().contains(reason), e.getMessage());
+        refused("g", () -> Settings.check(Xml.parse("g.xml", good.replace(from, to), "gateway")), reason);
     }
 
     @Test
--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -256,10 +256,10 @@
     /** Exception: what figures tell of an uplink over its guess is kept for longer than they. Guards against
      *  racks much narrower than the told mean, which are filled again as each figure fades; it harms where
      *  plays there are few and their links are guessed ill. */
-    private void uplinkTold(Rack r, double use, double of, double now) {
-        double guess = uplinkGuess(r, now), was = r.narrow(LEARNT_MS, now);
+    private void uplinkTold(Rack r, double use, double of) {
+        double guess = uplinkGuess(r, seenAt), was = r.narrow(LEARNT_MS, seenAt);
         if (guess > 0) {
-            r.learn(was + LEARN * (Math.min(NARROW_MOST, use / guess) - was), now);
+            r.learn(was + LEARN * (Math.min(NARROW_MOST, use / guess) - was), seenAt);
         }
         r.uplink.tell(use, of, all);
     }
@@ -281,7 +281,7 @@
             fleet.heard.add(h);
         }
         if (!Double.isNaN(load.uplink())) {
-            uplinkTold(h.rack, load.uplink(), of, seenAt);
+            uplinkTold(h.rack, load.uplink(), of);
         }
         if (!Double.isNaN(load.streams())) {
             h.streamsTold = load.streams();
@@ -321,7 +321,7 @@
         }
         if (h.link.weight(FADE_MS, now) > SURE && h.link.told < ROOMY // its link's report denies it
             || shortOnes >= 2 && shortOnes * 2 >= mine) {
-            uplinkTold(h.rack, Math.min(USE_MOST, shortOnes / sum), of, now);
+            uplinkTold(h.rack, Math.min(USE_MOST, shortOnes / sum), of);
         } else {
             h.link.tell(Math.min(USE_MOST, 1 / share), of, all);
         }
@@ -748,7 +748,7 @@
     public Learnt learnt(double now) {
         List<Learnt.Uplink> uplinks = fleet.racks().entrySet().stream()
             .map(r -> new Learnt.Uplink(r.getKey(), r.getValue().narrow(LEARNT_MS, now)))
-            .filter(u -> Math.abs(u.narrow() - 1) > LEARN * LEARN).toList();
+            .filter(u -> Math.abs(u.narrow() - 1) > HEARD_LEAST).toList();
         List<Learnt.Doubted> hosts = fleet.all().stream()
             .filter(h -> h.suspect || now - h.coldSince < cold.warmMs())
             .map(h -> new Learnt.Doubted(h.id, h.line.launched(), h.suspect, h.silent, h.retryAt,
--- a/core/src/test/java/walnutfield/Bench.java
+++ b/core/src/test/java/walnutfield/Bench.java
@@ -101,6 +101,18 @@
         }
     }
 
+    /** Two own plays in rack 1, on hosts 1 and 3, which both deliver 0.7 for so long. */
+    void shortRack(int seconds, double... use) {
+        underWay(FREE, 1, 2);
+        underWay(FREE, 3, 2);
+        for (int i = 0; i < seconds; i++) {
+            links(use);
+            director.shareTold(now, host(1), 0.7);
+            director.shareTold(now, host(3), 0.7);
+            pass(1000);
+        }
+    }
+
     /** A gateway among 200, of this seed. */
     static Bench amongMany(long seed, double coldMs, boolean probes) {
         return new Bench(seed, 200, new LegTerms(4, 0, -1, 0), coldMs, probes);
--- a/core/src/test/java/walnutfield/DirectorTest.java
+++ b/core/src/test/java/walnutfield/DirectorTest.java
@@ -639,14 +639,7 @@
     @CsvSource({"1000, 0", "25000, 0", "600000, 1"})
     void aNarrowUplinkIsRememberedLongerThanItsFigure(double later, int taken) {
         Bench b = Bench.plain();
-        b.underWay(FREE, 1, 2);
-        b.underWay(FREE, 3, 2);
-        for (int i = 0; i < 30; i++) {
-            b.links(0.5, 0.45, 0.6, 0.45, 0.6, 0.45);
-            b.director.shareTold(b.now, Bench.host(1), 0.7);
-            b.director.shareTold(b.now, Bench.host(3), 0.7);
-            b.pass(1000);
-        }
+        b.shortRack(30, 0.5, 0.45, 0.6, 0.45, 0.6, 0.45);
         b.pass(later);
         b.links(0.5, 0.45, 0.6, 0.45, 0.6, 0.45);
         assertEquals(taken, b.sentTo(b.want(FREE, 4000)));
--- a/core/src/test/java/walnutfield/LearntTest.java
+++ b/core/src/test/java/walnutfield/LearntTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import walnutfield.play.HostLine;
 import walnutfield.play.Learnt;
+import walnutfield.play.LegTerms;
 import walnutfield.play.Outcome;
 import walnutfield.play.PlayId;
 
@@ -23,13 +24,7 @@
         Bench b = Bench.plain();
         PlayId p = b.want(FREE, 0, 1, 4000);
         b.end(p, 0, 0, Outcome.BROKEN_OFF, false);
-        b.underWay(FREE, 1, 2);
-        b.underWay(FREE, 3, 2);
-        for (int i = 0; i < 20; i++) {
-            b.director.shareTold(b.now, Bench.host(1), 0.7);
-            b.director.shareTold(b.now, Bench.host(3), 0.7);
-            b.pass(1000);
-        }
+        b.shortRack(20);
         PlayId again = b.want(FREE, 0, 1, 4000);
         if (b.sentTo(again) == 0) {
             b.end(again, 0, 0, Outcome.BROKEN_OFF, false);
@@ -85,7 +80,7 @@
     /** Nothing that was learnt makes a host more welcome than the list does. */
     @Test
     void aDrainingHostStaysLeftAndAColdOneCold() {
-        Bench b = new Bench(1, new walnutfield.play.LegTerms(4, 0, -1, 0), 60_000, false);
+        Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 60_000, false);
         b.pass(70_000); // all are proven by now
         b.director.listChanged(b.now, List.of(Bench.line(1, HostLine.Standing.DRAINING, 0)));
         b.director.learntTaken(b.now, new Learnt(b.now - 100, 30_000, List.of(), List.of(
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -126,7 +126,7 @@
             pause();
         }
         ask(() -> {
-            plays.end();
+            plays.keepLearnt();
             return 0;
         });
         close();
--- a/gateway/src/main/java/walnutfield/gateway/LearntFile.java
+++ b/gateway/src/main/java/walnutfield/gateway/LearntFile.java
@@ -4,9 +4,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -48,14 +48,13 @@
         }
     }
 
-    void write(Learnt learnt) {
+    /** Asks for what was learnt only where it is kept. */
+    void write(Supplier<Learnt> learnt) {
         if (file == null) {
             return;
         }
         try {
-            Path next = file.resolveSibling(file.getFileName() + ".next");
-            Files.writeString(next, text(learnt));
-            Files.move(next, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+            KeptFile.write(file, text(learnt.get()));
         } catch (IOException e) {
             LOG.atError().addKeyValue("file", file).addKeyValue("reason", e.toString()).log("learnt not kept");
         }
--- a/gateway/src/main/java/walnutfield/gateway/ListClient.java
+++ b/gateway/src/main/java/walnutfield/gateway/ListClient.java
@@ -4,11 +4,11 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import walnutfield.desk.Call;
@@ -189,7 +189,7 @@
     }
 
     /** Keeps what was learnt, once what was kept before has been read. */
-    void keep(Learnt now) {
+    void keepLearnt(Supplier<Learnt> now) {
         if (!unproven) {
             learnt.write(now);
         }
@@ -201,9 +201,7 @@
             return;
         }
         try {
-            Path next = kept.resolveSibling(kept.getFileName() + ".next");
-            Files.writeString(next, new HostList(true, Math.max(0, number), List.copyOf(entries.values())).text());
-            Files.move(next, kept, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+            KeptFile.write(kept, new HostList(true, Math.max(0, number), List.copyOf(entries.values())).text());
         } catch (IOException e) {
             LOG.atError().addKeyValue("file", kept).addKeyValue("reason", e.toString()).log("list not kept");
         }
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -71,17 +71,17 @@
     void begin(ListClient with) {
         list = with;
         list.remembered();
-        thread.at(thread.now() + LEARNT_MS, this::keepLearnt);
+        thread.at(thread.now() + LEARNT_MS, this::keepOften);
     }
 
-    private void keepLearnt() {
-        list.keep(desk.learnt(thread.now()));
-        thread.at(thread.now() + LEARNT_MS, this::keepLearnt);
+    private void keepOften() {
+        keepLearnt();
+        thread.at(thread.now() + LEARNT_MS, this::keepOften);
     }
 
-    /** The last of it, when the gateway ends. */
-    void end() {
-        list.keep(desk.learnt(thread.now()));
+    /** Now and then, and once more when the gateway ends. */
+    void keepLearnt() {
+        list.keepLearnt(() -> desk.learnt(thread.now()));
     }
 
     void tell(Call call) {
--- a/gateway/src/test/java/walnutfield/gateway/LearntFileTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/LearntFileTest.java
@@ -24,7 +24,7 @@
     void whatIsWrittenIsRead(@TempDir Path dir) {
         LearntFile f = new LearntFile(dir.resolve("gw.learnt"));
         assertEquals(Learnt.NOTHING, f.read());
-        f.write(LEARNT);
+        f.write(() -> LEARNT);
         assertEquals(LEARNT, f.read());
         assertTrue(Files.notExists(dir.resolve("gw.learnt.next")));
     }
