--- a/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
@@ -195,7 +195,7 @@
             o.serve(second);
             MediaPlaylist p = list(o, media(Outside.of(asked)));
             assertTrue(p.segments().get(0).uri().contains(":" + o.portOf(second.host()) + "/"));
-            assertEquals(1, o.calls.stream().filter(c -> c.startsWith("Started")).count());
+            assertEquals(1, o.calls().stream().filter(c -> c.startsWith("Started")).count());
         }
     }
 
@@ -211,7 +211,7 @@
             assertTrue(gone.await(10, TimeUnit.SECONDS), "the host sees the leg closed");
             o.until("GaveUp");
             o.until("Ended");
-            assertTrue(o.calls.stream().anyMatch(c -> c.contains("CALLED_OFF")));
+            assertTrue(o.calls().stream().anyMatch(c -> c.contains("CALLED_OFF")));
         }
     }
 
@@ -255,7 +255,7 @@
             while (o.came.size() < 4) {
                 Thread.sleep(5);
             }
-            assertEquals(4, o.calls.stream().filter(c -> c.startsWith("WishTaken")).count());
+            assertEquals(4, o.calls().stream().filter(c -> c.startsWith("WishTaken")).count());
         }
     }
 
@@ -267,7 +267,7 @@
             assertEquals(503, r.statusCode());
             o.ask("free", 2);
             assertEquals("2", o.next().x().request().parameters().get("viewer"));
-            assertEquals(1, o.calls.stream().filter(c -> c.startsWith("WishTaken")).count());
+            assertEquals(1, o.calls().stream().filter(c -> c.startsWith("WishTaken")).count());
         }
     }
 
@@ -279,7 +279,7 @@
             o.serveSilent(first); // 700 ms of it count as lost
             Came second = o.next("POST /S");
             assertNotEquals(first.host(), second.host());
-            assertTrue(o.calls.stream().anyMatch(c -> c.contains("BROKEN_OFF")));
+            assertTrue(o.calls().stream().anyMatch(c -> c.contains("BROKEN_OFF")));
         }
     }
 
@@ -327,7 +327,7 @@
             o.change(full, HostLine.Standing.DRAINING);
             Came other = o.next("POST /S");
             assertNotEquals(full, other.host());
-            assertTrue(o.calls.stream().anyMatch(c -> c.contains("NOT_SENT")), o.calls.toString());
+            assertTrue(o.calls().stream().anyMatch(c -> c.contains("NOT_SENT")), o.calls().toString());
             o.serve(other);
             assertEquals(200, Outside.of(asked).statusCode());
         }
@@ -348,7 +348,7 @@
                 assertNotEquals(leg.host(), o.next("POST /S").host());
             }
             assertEquals(200, Outside.of(first).statusCode());
-            assertTrue(o.calls.stream().noneMatch(c -> c.contains("TIMED_OUT")));
+            assertTrue(o.calls().stream().noneMatch(c -> c.contains("TIMED_OUT")));
         }
     }
 
@@ -365,7 +365,7 @@
     @Test
     void aFirstListWithoutAKeptOneProvesNothing() throws Exception {
         try (Outside o = Outside.up(1)) {
-            assertEquals(List.of("ListRemembered[lines=[]]", "ListRemembered[lines=[HostLine"), o.calls.stream()
+            assertEquals(List.of("ListRemembered[lines=[]]", "ListRemembered[lines=[HostLine"), o.calls().stream()
                 .filter(c -> c.startsWith("List")).map(c -> c.replaceAll("HostLine.*", "HostLine")).toList());
             o.list.abort();
             o.follow();
@@ -384,12 +384,12 @@
                 Thread.sleep(10);
             }
             o.gateway.close();
-            o.calls.clear();
+            o.forgetCalls();
             o.follows.clear();
             o.start(100, kept);
             o.ask("free", 1);
             assertEquals("POST /S", o.next().what());
-            assertTrue(o.calls.get(0).startsWith("ListRemembered"));
+            assertTrue(o.calls().get(0).startsWith("ListRemembered"));
             o.follow();
             o.list.abort();
             o.until("ListLost");
--- a/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
@@ -195,7 +195,7 @@
             insert.piece(new Event("end", "whole").bytes());
             o.until("Ended");
             main.piece(new Event("end", "whole").bytes());
-            while (o.calls.stream().filter(c -> c.startsWith("Ended")).count() < 2) {
+            while (o.calls().stream().filter(c -> c.startsWith("Ended")).count() < 2) {
                 Thread.sleep(5);
             }
             CompletableFuture<HttpResponse<String>> again = o.ask("free", 1);
@@ -249,7 +249,7 @@
             MediaPlaylist p = list(o, uri, 5);
             assertTrue(kinds(p).startsWith("iiii|p"), kinds(p));
             assertTrue(p.segments().get(4).uri().endsWith(moved.session()), p.segments().get(4).uri());
-            assertTrue(o.calls.stream().anyMatch(c -> c.contains("CALLED_OFF")));
+            assertTrue(o.calls().stream().anyMatch(c -> c.contains("CALLED_OFF")));
         }
     }
 
@@ -285,7 +285,7 @@
             insert.piece(new Event("end", "whole").bytes());
             assertEquals(uri, media(again));
             o.until("InsertEnded");
-            assertEquals(1, o.calls.stream().filter(c -> c.startsWith("ViewingBegan")).count());
+            assertEquals(1, o.calls().stream().filter(c -> c.startsWith("ViewingBegan")).count());
             assertTrue(kinds(list(o, uri)).startsWith("ii|p"));
         }
     }
@@ -300,7 +300,7 @@
             main.piece(new Event("end", "idle").bytes());
             o.until("ViewingOver");
             assertNull(o.came.poll());
-            assertFalse(o.calls.stream().anyMatch(c -> c.startsWith("InsertDue")));
+            assertFalse(o.calls().stream().anyMatch(c -> c.startsWith("InsertDue")));
         }
     }
 
--- a/gateway/src/test/java/walnutfield/gateway/Outside.java
+++ b/gateway/src/test/java/walnutfield/gateway/Outside.java
@@ -61,7 +61,7 @@
     private final AtomicReference<Runnable> rungNext = new AtomicReference<>();
     private final AtomicReference<Gateway> out = new AtomicReference<>();
     final BlockingQueue<Exchange> follows = new LinkedBlockingQueue<>();
-    final List<String> calls = java.util.Collections.synchronizedList(new ArrayList<>());
+    private final List<String> calls = new ArrayList<>(); // the desk's thread adds, a test's reads copies
     private final Map<Integer, Server> hosts = new LinkedHashMap<>();
     private final Map<Integer, Integer> ports = new LinkedHashMap<>();
     private final Server lists;
@@ -100,7 +100,9 @@
             hosts.size(), 0));
         Listener ear = new Listener() {
             @Override public void called(double now, walnutfield.desk.Call call) {
-                calls.add(call.toString());
+                synchronized (calls) {
+                    calls.add(call.toString());
+                }
                 PlayId moves = moveNext.getAndSet(null);
                 Runnable rung = rungNext.getAndSet(null);
                 if (rung != null) {
@@ -169,19 +171,28 @@
         list.piece(new Event("hosts", text).bytes());
     }
 
-    private List<String> told() {
+    /** What the desk was told so far: a copy, as it may be told more at any time. */
+    List<String> calls() {
+        synchronized (calls) {
+            return List.copyOf(calls);
+        }
+    }
+
+    void forgetCalls() {
         synchronized (calls) {
-            return calls.stream().filter(c -> !c.startsWith("Woke") && !c.startsWith("List")).toList();
+            calls.clear();
         }
     }
 
+    private List<String> told() {
+        return calls().stream().filter(c -> !c.startsWith("Woke") && !c.startsWith("List")).toList();
+    }
+
     /** Waits until the desk was told so. */
     void until(String call) throws InterruptedException {
         for (int i = 0; i < 1000; i++) {
-            synchronized (calls) {
-                if (calls.stream().anyMatch(c -> c.startsWith(call))) {
-                    return;
-                }
+            if (calls().stream().anyMatch(c -> c.startsWith(call))) {
+                return;
             }
             Thread.sleep(10);
         }
