--- a/core/src/main/java/walnutfield/decide/Chance.java
+++ b/core/src/main/java/walnutfield/decide/Chance.java
@@ -2,7 +2,9 @@
 
 import java.util.zip.CRC32;
 
-/** Chance from the instance's seed and a counter. */
+/** Chance from the instance's seed and a counter. CRC32 alone is linear: of two draws in a row, or of two instances'
+ *  draws of the same number, the bits that differ are nearly always the same, so that a small chance now made one next
+ *  twice as likely. Its sum is mixed (MurmurHash3's last step), which maps no two sums to one. */
 final class Chance {
     private final long seed;
     private long drawn;
@@ -19,6 +21,12 @@
             crc.update((int) (seed >>> 8 * i));
             crc.update((int) (n >>> 8 * i));
         }
-        return crc.getValue() / 4294967296.0;
+        return mixed((int) crc.getValue()) / 4294967296.0;
+    }
+
+    private static long mixed(int sum) {
+        int h = (sum ^ sum >>> 16) * 0x85EBCA6B;
+        h = (h ^ h >>> 13) * 0xC2B2AE35;
+        return Integer.toUnsignedLong(h ^ h >>> 16);
     }
 }
--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -556,7 +556,7 @@
                 best = h;
             }
         }
-        double at = unheard.isEmpty() ? 0 : odds * chance.next(); // once: chances in a row hang together
+        double at = unheard.isEmpty() ? 0 : odds * chance.next();
         for (Map.Entry<Host, Double> u : unheard.entrySet()) {
             at -= Math.max(LEAST_SPARE, u.getValue());
             if (at < 0) {
