Plays are stepped up from 1 s after a host is first listed, not from 4 s

That wait was for first figures that leave out plays handed over; they are refreshed within 0.8 s and late by 0.3 s at most.

--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -29,6 +29,7 @@
     private static final double RAISE_UNDER = 0.10; // unsure, steps up stay so much under their mark
     private static final double RAISE_MOST = 0.92;  // and never where use would pass this
     private static final double RAISE_MS = 4_000;   // a host's plays are stepped up so often at most
+    private static final double START_MS = 1_000;  // nor in so long after it is first listed
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
     private static final double LEARNT_MS = 60_000; // what was learnt of an uplink falls by e in this time
     private static final double LEARN = 0.1;        // part of a figure's difference that is learnt
@@ -180,7 +181,7 @@
                 return;
             }
             h = fleet.add(l);
-            h.raisedAt = now; // its first figures may still leave out the plays that it began with
+            h.raisedAt = now - RAISE_MS + START_MS; // first figures may leave out plays that it began with
         } else if (l.launched() > h.line.launched()) { // it came back: what was known of it is void
             h.forgetAnswers();
             h.suspect = h.silent = false;
