Uplinks' marks are 0.08 higher than links': many plays even out

Cause: true rates lie 8 to 21% above or below the ladder; a link carries some ten plays and an uplink some sixty to a hundred, so that the same spread of rates moves an uplink's use less than half as much.

--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -23,6 +23,7 @@
     private static final double MOVE_WORTH = 1.5;   // a move must save so many times its price
     private static final double MARK = 0.65;        // use up to which a new play gets its top rung
     private static final double STEP = 0.14;        // and one rung less for each such step above
+    private static final double WIDER = 0.08;       // an uplink's marks are so much higher
     private static final double HIGH = 1.03;        // use from which playing plays are stepped down
     private static final double CUT_TO = 0.95;      // and to which
     private static final double FULL = 1.00;        // use over which no play is let in at any rung
@@ -618,7 +619,7 @@
             int floor = p.wish.band().floor();
             p.rung = p.part < 1 ? floor : ladder.top(p.wish);
             while (p.rung > floor && Math.max(use + unsure + p.kb(ladder, p.rung) / size,
-                uplink + p.kb(ladder, p.rung) / uplinkKb) > mark(p, p.rung)) {
+                uplink + p.kb(ladder, p.rung) / uplinkKb - WIDER) > mark(p, p.rung)) {
                 p.rung--;
             }
             double kb = p.kb(ladder, floor);
@@ -869,7 +870,7 @@
             for (int rung = ladder.top(p.wish), from = p.rung; rung > from && p.rung == from; rung--) {
                 double kb = p.kb(ladder, rung) - p.kb(ladder, from);
                 double mark = Math.min(RAISE_MOST, mark(p, rung) - RAISE_UNDER * unsure());
-                double room = Math.min((mark - use) * size, (mark - uplink) * h.rack.uplinkKb);
+                double room = Math.min((mark - use) * size, (mark + WIDER - uplink) * h.rack.uplinkKb);
                 if (ours + kb <= room && passes(room * part - ours, kb)) { // fellows see the same room
                     ours += kb;
                     change(p, rung, now);
