--- a/app/src/main/java/walnutfield/app/LikeDay.java
+++ b/app/src/main/java/walnutfield/app/LikeDay.java
@@ -92,6 +92,7 @@
             }
             boolean rationed = budget.path("window").asDouble() > 0;
             boolean probes = allow.path("probes").asBoolean();
+            int holders = fam.path("copies").asDouble(1) > 0 ? Math.min(hosts, 3) : hosts; // 0: all hold all
             String script = "<day xmlns='urn:walnutfield:1' seconds='" + n(lengthS) + "' seed='1' gateways='" + gateways
                 + "' list-late-ms='" + n(day.path("discovery").path("notice").asDouble() / 1000) + "'><rungs stall='"
                 + fam.path("stall").asDouble() + "'>" + rungs + "</rungs><bands>" + bands + "</bands><legs most='"
@@ -105,7 +106,8 @@
                 + n(allow.path("retry_after").asBoolean() ? day.path("clients").path("max_retry_after").asDouble() / 1000 : 0)
                 + "'/><reports probes='" + probes + "' probe-price='" + day.path("prices").path("probe").asDouble()
                 + "' told-late-ms='" + n(fam.path("see").asDouble() / 1000) + "' ask-for-list='"
-                + day.path("discovery").path("ask").asBoolean() + "'/><moves price='"
+                + day.path("discovery").path("ask").asBoolean() + "' in-answers='"
+                + tier.path("report_how").asText().equals("answers") + "'/><moves price='"
                 + day.path("prices").path("moves").asDouble() + "'/><front/><host-client/><fleet hosts='" + hosts + "' racks='"
                 + (int) racks + "' slots='" + Math.max(2, Math.round(fam.path("core_slots").asDouble() * cores)) + "' link-kb='"
                 + n(link) + "' link-spread='" + n(Math.min(0.9, fam.path("lean").asDouble())) + "' rack-part='" + n(rackPart)
@@ -113,7 +115,7 @@
                 + "' refresh-ms='" + n(tier.path("report_period").asDouble(300_000) / 1000) + "' noise='"
                 + n(Math.min(1, tier.path("report_noise").asDouble())) + "' late-ms='" + n(fam.path("see").asDouble() / 1000)
                 + "' tell-ms='" + n(tellS * 1000) + "'/><titles count='" + Math.max(1, fam.path("titles").asInt(1))
-                + "' holders='" + Math.min(hosts, 3) + "' skew='" + n(fam.path("title_zipf").asDouble()) + "' segments='"
+                + "' holders='" + holders + "' skew='" + n(fam.path("title_zipf").asDouble()) + "' segments='"
                 + segments + "'/><viewers per-s='" + n(perS) + "' returns='" + n(fam.path("returns").asDouble(1))
                 + "' weakest='" + n(fam.path("small_screens").asDouble()) + "'/><faults>" + faults + "</faults></day>";
             return new LikeDay(script, List.copyOf(notes));
@@ -129,7 +131,24 @@
                 case "crash" -> hosts(t, "dead", at, forS, 0);
                 case "vanish" -> hosts(t, "silent", at, forS, 0);
                 case "hang" -> hosts(t, "standing", at, forS, 0);
-                case "slow", "neighbour" -> hosts(t, "weak-link", at, forS, 1 / Math.max(1, size));
+                case "slow" -> hosts(t, "weak-link", at, forS, 1 / Math.max(1, size));
+                case "neighbour" -> { // it takes this share of the link, on and off
+                    for (double s = at; s < at + forS; s += 2 * Math.max(1, extra)) {
+                        hosts(t, "weak-link", s, Math.min(Math.max(1, extra), at + forS - s), 1 - Math.min(0.99, size));
+                    }
+                }
+                case "zone_loss" -> {
+                    hosts(t, extra > 0.5 ? "silent" : "dead", at, forS, 0);
+                    for (int g = 0; size > 0.5 && g < gateways; g++) {
+                        if (day.path("balancers").path(g).path("zone").asInt() == t.path("which").asInt()) {
+                            fault("gateway-killed", at, forS, g, 1, 0);
+                        }
+                    }
+                }
+                case "hot_key" -> {
+                    notes.add("hot_key: as more viewers for all titles");
+                    fault("crowd", at, forS, 0, 1, 1 / (1 - Math.min(0.9, size)));
+                }
                 case "fast_errors" -> hosts(t, "failing", at, forS, size);
                 case "answer_lost" -> {
                     notes.add("answer_lost: all answers of its hosts are lost, the bench loses " + n(size) + " of them");
