Steps up take half of our part of the room, from 2 s after a host is first listed

Half of the room leaves some, from 2 s on it shows whether a crowd comes. A gateway alone steps up by halves too, each 4 s.

--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -30,7 +30,8 @@
     private static final double RAISE_UNDER = 0.10; // unsure, steps up stay so much under their mark
     private static final double RAISE_MOST = 0.92;  // and never where use would pass this
     private static final double RAISE_MS = 4_000;   // a host's plays are stepped up so often at most
-    private static final double START_MS = 1_000;  // nor in so long after it is first listed
+    private static final double START_MS = 2_000;   // and not for so long after it is first listed
+    private static final double RAISE_PART = 0.5;   // of our part of the room: a crowd may be on its way
     private static final double FADE_MS = 8_000;    // a figure's weight falls by e in this time
     private static final double LEARNT_MS = 60_000; // what was learnt of an uplink falls by e in this time
     private static final double LEARN = 0.1;        // part of a figure's difference that is learnt
@@ -865,7 +866,7 @@
         }
         h.raisedAt = now;
         double size = size(h, now), use = linkUse(h, now), uplink = uplinkUse(h.rack, now), ours = 0;
-        double part = Math.max(1.0 / post.gateways(), h.plays.size() / streams(h, now));
+        double part = RAISE_PART * Math.max(1.0 / post.gateways(), h.plays.size() / streams(h, now));
         for (Play p : lower) {
             for (int rung = ladder.top(p.wish), from = p.rung; rung > from && p.rung == from; rung--) {
                 double kb = p.kb(ladder, rung) - p.kb(ladder, from);
