--- a/app/src/main/java/walnutfield/app/LikeDay.java
+++ b/app/src/main/java/walnutfield/app/LikeDay.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * A rehearsal of the same kinds of trouble as a day that the bench drew: its fleet, load and troubles as far as
@@ -167,18 +169,14 @@
                 case "deploy", "preempt" -> {
                     notes.add(kind + ": its waves come back at their old addresses, cold, after 2 s");
                     for (JsonNode step : t.path("steps")) {
-                        for (JsonNode s : step.path("stop")) {
-                            fault("drain", step.path("at").asDouble() / US, Math.max(0.3, kind.equals("deploy") ? extra : size),
-                                s.asInt() % hosts, 1, 2000);
-                        }
+                        befallen(step.path("stop"), hosts).forEach(s -> fault("drain", step.path("at").asDouble() / US,
+                            Math.max(0.3, kind.equals("deploy") ? extra : size), s, 1, 2000));
                     }
                 }
                 case "balancer_roll" -> {
                     for (JsonNode step : t.path("steps")) {
-                        for (JsonNode s : step.path("stop")) {
-                            fault("gateway-killed", step.path("at").asDouble() / US, Math.max(0.2, extra), s.asInt() % gateways,
-                                1, 0);
-                        }
+                        befallen(step.path("stop"), gateways).forEach(s -> fault("gateway-killed",
+                            step.path("at").asDouble() / US, Math.max(0.2, extra), s, 1, 0));
                     }
                 }
                 case "balancer_stall" -> {
@@ -191,11 +189,21 @@
         }
 
         private void hosts(JsonNode t, String kind, double at, double forS, double amount) {
-            java.util.Set<Integer> on = new java.util.TreeSet<>();
-            t.path("on").forEach(s -> on.add(s.asInt() % hosts));
+            Set<Integer> on = befallen(t.path("on"), hosts);
+            if (on.isEmpty() && !t.path("on").isEmpty()) {
+                on.add(t.path("on").path(0).asInt() % hosts); // one at least
+            }
             on.forEach(s -> fault(kind, at, forS, s, 1, amount));
         }
 
+        /** Those of a larger fleet that are kept here: its first ones, so that the same part of it is befallen. */
+        private static Set<Integer> befallen(JsonNode numbers, int kept) {
+            Set<Integer> on = new TreeSet<>();
+            numbers.forEach(s -> on.add(s.asInt()));
+            on.removeIf(s -> s >= kept);
+            return on;
+        }
+
         private void fault(String kind, double at, double forS, int first, int count, double amount) {
             if (at >= lengthS) {
                 notes.add("not carried over: " + kind + " after the day's end");
