Tests count what the desk was told in one way

Found on reading the change again: the same stream, filter and count stood at twelve places of three tests, and a thirteenth in the wait for a call: Outside.count serves all; each assertion is as it was.

--- a/app/src/main/java/walnutfield/app/LikeDay.java
+++ b/app/src/main/java/walnutfield/app/LikeDay.java
@@ -135,8 +135,9 @@
                 case "hang" -> hosts(t, "standing", at, forS, 0);
                 case "slow" -> hosts(t, "weak-link", at, forS, 1 / Math.max(1, size));
                 case "neighbour" -> { // it takes this share of the link, on and off
-                    for (double s = at; s < at + forS; s += 2 * Math.max(1, extra)) {
-                        hosts(t, "weak-link", s, Math.min(Math.max(1, extra), at + forS - s), 1 - Math.min(0.99, size));
+                    double on = Math.max(1, extra);
+                    for (double s = at; s < at + forS; s += 2 * on) {
+                        hosts(t, "weak-link", s, Math.min(on, at + forS - s), 1 - Math.min(0.99, size));
                     }
                 }
                 case "zone_loss" -> {
--- a/gateway/src/test/java/walnutfield/gateway/CallsTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/CallsTest.java
@@ -173,7 +173,7 @@
         assertFalse(l.host().hears("INVITE", 100), "its copies come after the round trip");
         l.host().serve(l.invite());
         caller.next("200 INVITE");
-        assertEquals(1, o.calls().stream().filter(c -> c.startsWith("WishTaken")).count());
+        assertEquals(1, o.count("WishTaken"));
     }
 
     @Test
@@ -194,7 +194,7 @@
         assertFalse(l.host().hears("BYE", 200), "the other copy goes on");
         caller.send(caller.within("BYE", two, 2, ""));
         l.host().next("BYE");
-        assertEquals(1, o.calls().stream().filter(c -> c.startsWith("WishTaken")).count());
+        assertEquals(1, o.count("WishTaken"));
     }
 
     /** The 200 is lost on its way: it is repeated, and a paid play is never set up again for it. */
@@ -210,7 +210,7 @@
         caller.send(caller.invite("a", "paid", 1)); // a late copy
         caller.ack(second);
         assertFalse(caller.hears("BYE", 200));
-        assertEquals(1, o.calls().stream().filter(c -> c.startsWith("WishTaken")).count());
+        assertEquals(1, o.count("WishTaken"));
     }
 
     @Test
@@ -375,7 +375,7 @@
         up(1, 200, 100);
         caller.send(caller.invite("a", "free", 1).replace(what, by.replace("\\r\\n", "\r\n")));
         assertTrue(caller.next(Integer.toString(status)).what().startsWith(Integer.toString(status)));
-        assertEquals(0, o.calls().stream().filter(c -> c.startsWith("WishTaken")).count());
+        assertEquals(0, o.count("WishTaken"));
     }
 
     /** A body is counted in bytes: one byte short, the host would refuse it, and the caller a re-INVITE. */
@@ -453,7 +453,7 @@
         o.until("Started[");
         caller.send(caller.invite("b", "free", 20));
         while (!leg().play().endsWith("-4")) { } // the one that was refused is no play, and this one is the fourth
-        assertEquals(4, o.calls().stream().filter(c -> c.startsWith("WishTaken")).count());
+        assertEquals(4, o.count("WishTaken"));
     }
 
     /** The desk's thread stands while copies of one INVITE come: all are told the same, and none is taken afterwards. */
@@ -468,7 +468,7 @@
         }
         caller.next("503");
         assertFalse(caller.hears("100", 1500));
-        assertEquals(0, o.calls().stream().filter(c -> c.startsWith("WishTaken")).count());
+        assertEquals(0, o.count("WishTaken"));
     }
 
     /** Ten thousand from one address, none acknowledged: its part is taken, the rest told to come later, and others are served. */
@@ -491,7 +491,7 @@
         Outside.Came hls = o.next("POST /S");
         o.serve(hls);
         assertEquals(200, Outside.of(viewer).statusCode());
-        long taken = o.calls().stream().filter(c -> c.startsWith("WishTaken")).count();
+        long taken = o.count("WishTaken");
         assertTrue(taken > 20 && taken < 2000, "those that the module shed make room, but few of all get to it: " + taken);
     }
 
--- a/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
@@ -195,7 +195,7 @@
             o.serve(second);
             MediaPlaylist p = list(o, media(Outside.of(asked)));
             assertTrue(p.segments().get(0).uri().contains(":" + o.portOf(second.host()) + "/"));
-            assertEquals(1, o.calls().stream().filter(c -> c.startsWith("Started")).count());
+            assertEquals(1, o.count("Started"));
         }
     }
 
@@ -255,7 +255,7 @@
             while (o.came.size() < 4) {
                 Thread.sleep(5);
             }
-            assertEquals(4, o.calls().stream().filter(c -> c.startsWith("WishTaken")).count());
+            assertEquals(4, o.count("WishTaken"));
         }
     }
 
@@ -267,7 +267,7 @@
             assertEquals(503, r.statusCode());
             o.ask("free", 2);
             assertEquals("2", o.next().x().request().parameters().get("viewer"));
-            assertEquals(1, o.calls().stream().filter(c -> c.startsWith("WishTaken")).count());
+            assertEquals(1, o.count("WishTaken"));
         }
     }
 
--- a/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/InsertsTest.java
@@ -195,7 +195,7 @@
             insert.piece(new Event("end", "whole").bytes());
             o.until("Ended");
             main.piece(new Event("end", "whole").bytes());
-            while (o.calls().stream().filter(c -> c.startsWith("Ended")).count() < 2) {
+            while (o.count("Ended") < 2) {
                 Thread.sleep(5);
             }
             CompletableFuture<HttpResponse<String>> again = o.ask("free", 1);
@@ -285,7 +285,7 @@
             insert.piece(new Event("end", "whole").bytes());
             assertEquals(uri, media(again));
             o.until("InsertEnded");
-            assertEquals(1, o.calls().stream().filter(c -> c.startsWith("ViewingBegan")).count());
+            assertEquals(1, o.count("ViewingBegan"));
             assertTrue(kinds(list(o, uri)).startsWith("ii|p"));
         }
     }
--- a/gateway/src/test/java/walnutfield/gateway/Outside.java
+++ b/gateway/src/test/java/walnutfield/gateway/Outside.java
@@ -178,6 +178,11 @@
         }
     }
 
+    /** How often the desk was told so. */
+    long count(String call) {
+        return calls().stream().filter(c -> c.startsWith(call)).count();
+    }
+
     void forgetCalls() {
         synchronized (calls) {
             calls.clear();
@@ -191,7 +196,7 @@
     /** Waits until the desk was told so. */
     void until(String call) throws InterruptedException {
         for (int i = 0; i < 1000; i++) {
-            if (calls().stream().anyMatch(c -> c.startsWith(call))) {
+            if (count(call) > 0) {
                 return;
             }
             Thread.sleep(10);
