--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -19,6 +19,8 @@
 import picocli.CommandLine.Parameters;
 import walnutfield.bench.Adapter;
 import walnutfield.gateway.GatewayServer;
+import walnutfield.platform.BadConfig;
+import walnutfield.platform.Service;
 import walnutfield.play.Ladder;
 import walnutfield.record.Making;
 import walnutfield.record.Recorder;
@@ -28,7 +30,7 @@
 /** The program: one subcommand for each way of running it. */
 @Command(name = "walnutfield", mixinStandardHelpOptions = true, version = Main.BUILD,
     description = "A session front: decides which media host takes each play and at what quality.",
-    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class, MeasureCommand.class, MeasureCommand.Bare.class, CallsCommand.class, InsertsCommand.class, Tools.RecordCommand.class,
+    subcommands = {Main.GatewayCommand.class, Main.RehearseCommand.class, Main.AdapterCommand.class, Main.PlatformCommand.class, MeasureCommand.class, MeasureCommand.Bare.class, CallsCommand.class, InsertsCommand.class, Tools.RecordCommand.class,
         Tools.ReplayCommand.class, Tools.CheckCommand.class, Tools.TraceCommand.class, Tools.WhatIfCommand.class,
         Main.SchemaCommand.class})
 public final class Main {
@@ -230,6 +232,25 @@
         }
     }
 
+    /** A gateway on the platform, told what it needs by its environment. */
+    @Command(name = "platform", mixinStandardHelpOptions = true,
+        description = "Runs one gateway on the platform, as GW_CONFIG says, until SIGTERM.")
+    static final class PlatformCommand implements Callable<Integer> {
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            Logs.to(null, Level.INFO);
+            try {
+                return Service.run(System.getenv());
+            } catch (BadConfig e) {
+                spec.commandLine().getErr().println("configuration: " + e.getMessage());
+                return BAD_INPUT;
+            }
+        }
+    }
+
     /** The schema of settings and scripts. */
     @Command(name = "schema", mixinStandardHelpOptions = true, description = "Prints the schema of all settings.")
     static final class SchemaCommand implements Callable<Integer> {
--- a/bench/src/main/java/walnutfield/bench/Adapter.java
+++ b/bench/src/main/java/walnutfield/bench/Adapter.java
@@ -12,6 +12,7 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,6 +20,7 @@
 import java.util.Map;
 import walnutfield.desk.Call;
 import walnutfield.desk.Desk;
+import walnutfield.desk.Listener;
 import walnutfield.play.Band;
 import walnutfield.play.CustomerId;
 import walnutfield.play.HostId;
@@ -30,6 +32,7 @@
 import walnutfield.play.TitleId;
 import walnutfield.play.ViewerId;
 import walnutfield.play.Wanted;
+import walnutfield.settings.Settings;
 
 /** Speaks the bench's wire: decodes lines into calls of each instance's desk, and encodes its results. */
 public final class Adapter {
@@ -131,7 +134,8 @@
             }
             Settings settings = new Settings(all);
             guarded(number, () ->
-                instances.put(number, new Instance(settings, settings.desk(seed, new Replies(out, number), ears, number))));
+                instances.put(number, new Instance(settings, settings.desk(seed, new Replies(out, number),
+                    listener(settings, seed, number)))));
             return;
         }
         Instance to = instances.get(number);
@@ -142,6 +146,15 @@
         guarded(number, call);
     }
 
+    private Listener listener(Settings s, long seed, int number) {
+        try {
+            return ears.of(number, s.post(seed), s.ladder(), s.links(), s.legs(), s.cold(), s.sheds(), s.reports(), s.moves(),
+                s.shares());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Decodes an event at once and gives back the call that it stands for. */
     private Runnable call(String name, Fields f, int number, Instance to) {
         Desk d = to.desk;
@@ -210,7 +223,7 @@
                 boolean over = f.flag();
                 int leg = f.small();
                 double took = f.numberOr(0);
-                Load load = load(f.any(), to.settings.columns);
+                Load load = load(f.any(), to.settings);
                 return () -> d.take(t, new Call.Ended(play, leg, host, how, over, took, load));
             }
             case "timedOutClient": {
@@ -221,7 +234,7 @@
                 HostId host = new HostId(f.text());
                 Outcome how = outcome(f);
                 double took = f.numberOr(0);
-                Load load = load(f.any(), to.settings.columns);
+                Load load = load(f.any(), to.settings);
                 return () -> d.take(t, new Call.Probed(host, how, took, load));
             }
             case "timer": {
@@ -260,7 +273,7 @@
                 throw new MalformedLine("unknown readiness '" + state + "'");
             }
             lines.add(new HostLine(host, new PlaceId(place == null ? "" : place),
-                machine == null ? 0 : settings.slots.getOrDefault(machine, 0), cell, standing,
+                machine == null ? 0 : settings.slots(machine), cell, standing,
                 e.numberOr(1), e.numberOr(0)));
         }
         switch (kind) {
@@ -281,7 +294,7 @@
 
     private static Band band(Fields f, Settings settings) {
         String name = f.text();
-        Band band = settings.bands.get(name);
+        Band band = settings.bands().get(name);
         if (band == null) {
             throw new MalformedLine("the settings have no class '" + name + "'");
         }
@@ -297,28 +310,14 @@
         return how;
     }
 
-    private static Load load(JsonNode row, List<String> columns) {
+    private static Load load(JsonNode row, Settings settings) {
         if (row == null || !row.isArray()) {
             return Load.NONE;
         }
-        double link = Double.NaN;
-        double cpu = Double.NaN;
-        double uplink = Double.NaN;
-        double streams = Double.NaN;
-        for (int i = 0; i < columns.size() && i < row.size(); i++) {
-            if (!row.get(i).isNumber()) {
-                continue;
-            }
-            double v = row.get(i).doubleValue();
-            switch (columns.get(i)) {
-                case "x0": link = v; break;
-                case "x1": uplink = v; break;
-                case "cpu": cpu = v; break;
-                case "active": streams = v; break;
-                default: break;
-            }
-        }
-        return new Load(Double.isNaN(link) ? cpu : link, uplink, streams);
+        return settings.load(column -> {
+            JsonNode v = row.path(settings.columns().indexOf(column));
+            return v.isNumber() ? v.doubleValue() : Double.NaN;
+        });
     }
 
     private void guarded(int number, Runnable call) {
--- a/gateway/src/main/java/walnutfield/gateway/Admission.java
+++ b/gateway/src/main/java/walnutfield/gateway/Admission.java
@@ -4,6 +4,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Supplier;
+import walnutfield.loop.DeskThread;
 import walnutfield.net.Clock;
 
 /** How wishes of every front get to the desk's thread: through its bounded queue, or not at all. Any thread may use it. */
--- a/gateway/src/main/java/walnutfield/gateway/Calls.java
+++ b/gateway/src/main/java/walnutfield/gateway/Calls.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import walnutfield.loop.DeskThread;
 import walnutfield.net.Clock;
 import walnutfield.net.sip.SipNode;
 import walnutfield.orca.LoadField;
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -13,6 +13,7 @@
 import org.slf4j.LoggerFactory;
 import walnutfield.desk.Carrier;
 import walnutfield.desk.Taker;
+import walnutfield.loop.DeskThread;
 import walnutfield.net.Client;
 import walnutfield.net.Clock;
 import walnutfield.net.Server;
@@ -58,7 +59,7 @@
         Figures figures = new Figures(registry, name);
         this.name = name;
         this.frontTerms = frontTerms;
-        thread = new DeskThread(name + "-desk", frontTerms.queue(), figures);
+        thread = new DeskThread(name + "-desk", frontTerms.queue(), figures::event);
         hosts = new HostClient(name, hostTerms);
         lists = new Client(name + "-list", 1, new Client.Terms(listTerms.retryMs(), 1000, 1, 16_384, Long.MAX_VALUE));
         String life = name + "." + Long.toString((long) Clock.now(), 36);
--- a/gateway/src/main/java/walnutfield/gateway/Hls.java
+++ b/gateway/src/main/java/walnutfield/gateway/Hls.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import walnutfield.desk.Call;
+import walnutfield.loop.DeskThread;
 import walnutfield.stitch.Schedule;
 
 /** What all viewings over HLS have in common; on the desk's thread but for the playlists, which viewers fetch from any. */
--- a/gateway/src/main/java/walnutfield/gateway/Inserts.java
+++ b/gateway/src/main/java/walnutfield/gateway/Inserts.java
@@ -10,6 +10,7 @@
 import org.slf4j.LoggerFactory;
 import walnutfield.desk.Call;
 import walnutfield.desk.Carrier;
+import walnutfield.loop.DeskThread;
 import walnutfield.play.Band;
 import walnutfield.play.PlayId;
 import walnutfield.stitch.Insert;
--- a/gateway/src/main/java/walnutfield/gateway/ListClient.java
+++ b/gateway/src/main/java/walnutfield/gateway/ListClient.java
@@ -14,6 +14,7 @@
 import walnutfield.desk.Call;
 import walnutfield.hosts.HostEntry;
 import walnutfield.hosts.HostList;
+import walnutfield.loop.DeskThread;
 import walnutfield.net.Client;
 import walnutfield.net.Headers;
 import walnutfield.net.Request;
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -15,6 +15,7 @@
 import walnutfield.desk.Taker;
 import walnutfield.gateway.Viewing.Came;
 import walnutfield.gateway.Viewing.Phase;
+import walnutfield.loop.DeskThread;
 import walnutfield.play.Gateway;
 import walnutfield.play.HostId;
 import walnutfield.play.Load;
--- a/gateway/src/main/java/walnutfield/gateway/DeskThread.java
+++ b/net/src/main/java/walnutfield/loop/DeskThread.java
@@ -1,4 +1,4 @@
-package walnutfield.gateway;
+package walnutfield.loop;
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
@@ -14,7 +14,12 @@
  * The one thread that owns a gateway's desk and its sessions. Others post to it. Wishes and figures are refused
  * where too much waits; what becomes of legs never is, as there is at most so much of it as there are legs.
  */
-final class DeskThread {
+public final class DeskThread {
+    /** Is told, on the thread, how long each event waited and ran. */
+    public interface Times {
+        void event(double waitMs, double runMs);
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger(DeskThread.class);
     private static final long IDLE_MS = 1000;
     private static final long STOP_MS = 2000;
@@ -29,7 +34,7 @@
     private final PriorityQueue<Timer> timers =
         new PriorityQueue<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::order));
     private final int most;
-    private final Figures figures;
+    private final Times times;
     private final Thread thread;
     private long order;
     private double now = Clock.now();
@@ -38,19 +43,19 @@
     /**
      * @param most wishes and figures that may wait
      */
-    DeskThread(String name, int most, Figures figures) {
-        this.figures = figures;
+    public DeskThread(String name, int most, Times times) {
+        this.times = times;
         this.most = most;
         thread = new Thread(this::run, name);
         thread.setDaemon(true);
     }
 
-    void start() {
+    public void start() {
         thread.start();
     }
 
     /** For what must not be lost. */
-    void post(Runnable what) {
+    public void post(Runnable what) {
         queue.add(new Posted(Clock.now(), what));
     }
 
@@ -58,13 +63,13 @@
      * For what overtakes all that waits. Guards against wishes sent to a host that drains, because they waited before
      * the list's word in a long queue or through a stall; it harms nothing, as lists are rare.
      */
-    void postFirst(Runnable what) {
+    public void postFirst(Runnable what) {
         urgent.add(what);
         queue.add(new Posted(Clock.now(), () -> { })); // wakes the thread
     }
 
     /** For what may be refused; false where it was. */
-    boolean offer(Runnable what) {
+    public boolean offer(Runnable what) {
         if (refusable.incrementAndGet() > most) {
             refusable.decrementAndGet();
             return false;
@@ -77,21 +82,21 @@
     }
 
     /** On this thread only: runs it at that time. */
-    void at(double time, Runnable what) {
+    public void at(double time, Runnable what) {
         timers.add(new Timer(time, order++, what));
     }
 
     /** The time at which the present event was taken from the queue. */
-    double now() {
+    public double now() {
         return now;
     }
 
-    int waiting() {
+    public int waiting() {
         return queue.size();
     }
 
     /** Ends it; the desk has had its last call when this returns. */
-    void stop() {
+    public void stop() {
         stopped = true;
         thread.interrupt();
         try {
@@ -129,7 +134,7 @@
                 Posted event = next;
                 next = null;
                 guarded(event.what());
-                figures.event(now - event.at(), Clock.now() - now);
+                times.event(now - event.at(), Clock.now() - now);
             }
         }
     }
--- /dev/null
+++ b/net/src/main/java/walnutfield/loop/package-info.java
@@ -0,0 +1,2 @@
+/** The one thread that owns a desk and its sessions, whatever fronts post to it. */
+package walnutfield.loop;
--- a/sip/src/main/java/walnutfield/sip/Framer.java
+++ b/sip/src/main/java/walnutfield/sip/Framer.java
@@ -56,6 +56,11 @@
         held = Arrays.copyOfRange(b, Math.min(from, b.length), b.length);
     }
 
+    /** Whether part of a message waits for its rest. */
+    public boolean isPartial() {
+        return held.length > 0;
+    }
+
     /** Where the next message begins, or what may yet be part of a keep-alive. */
     private int skip(byte[] b, int from) {
         int i = from;
--- a/sip/src/main/java/walnutfield/sip/Malformed.java
+++ b/sip/src/main/java/walnutfield/sip/Malformed.java
@@ -5,7 +5,7 @@
     private static final long serialVersionUID = 1L;
     private final int status;
 
-    Malformed(int status, String reason) {
+    public Malformed(int status, String reason) {
         super(reason);
         this.status = status;
     }
