--- a/app/src/main/java/walnutfield/app/Logs.java
+++ b/app/src/main/java/walnutfield/app/Logs.java
@@ -21,6 +21,7 @@
         json.setContext(context);
         json.setWithFormattedMessage(true);
         json.setWithMessage(false);
+        json.setWithArguments(false);
         json.setWithContext(false);
         json.setWithSequenceNumber(false);
         json.setWithNanoseconds(false);
--- a/net/src/main/java/walnutfield/net/stream/Stream.java
+++ b/net/src/main/java/walnutfield/net/stream/Stream.java
@@ -1,6 +1,7 @@
 package walnutfield.net.stream;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
@@ -10,7 +11,8 @@
 public final class Stream {
     private final Connection<?> connection;
     private final MemoryManager<?> memory;
-    private Streams.User user; // on the thread of the sockets only
+    private final AtomicBoolean told = new AtomicBoolean();
+    private volatile Streams.User user;
 
     Stream(Connection<?> connection, MemoryManager<?> memory) {
         this.connection = connection;
@@ -21,8 +23,15 @@
         user = its;
     }
 
-    Streams.User user() {
-        return user;
+    void came(byte[] piece) {
+        user.came(piece);
+    }
+
+    /** Tells its user, once, that it is closed. */
+    void ended() {
+        if (told.compareAndSet(false, true)) {
+            user.closed();
+        }
     }
 
     public InetSocketAddress remote() {
--- a/net/src/main/java/walnutfield/net/stream/Streams.java
+++ b/net/src/main/java/walnutfield/net/stream/Streams.java
@@ -36,7 +36,7 @@
     public interface User {
         void came(byte[] piece);
 
-        /** Told once, however it ended. */
+        /** Told once, however it ended; on the thread that closed it, where that was another. */
         void closed();
     }
 
@@ -110,10 +110,7 @@
                 }
                 Stream s = new Stream(c, transport.getMemoryManager());
                 s.is(up.opened(s));
-                STREAM.set(c, s);
-                if (!c.isOpen() && STREAM.remove(c) != null) { // it ended before it had a user
-                    s.user().closed();
-                }
+                known(c, s);
             }
 
             @Override
@@ -130,6 +127,17 @@
         };
     }
 
+    /**
+     * From now on its user is told of it. Guards against a stream that was closed, by another thread or its peer, before
+     * it was known here: nobody would ever tell its user.
+     */
+    private static void known(Connection<?> c, Stream s) {
+        STREAM.set(c, s);
+        if (!c.isOpen()) {
+            s.ended();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         transport.shutdownNow();
@@ -148,7 +156,7 @@
                 return ctx.getStopAction();
             }
             made.is(user);
-            STREAM.set(c, made);
+            known(c, made);
             return ctx.getInvokeAction();
         }
 
@@ -163,7 +171,7 @@
             open.decrementAndGet();
             Stream s = STREAM.remove(ctx.getConnection());
             if (s != null) {
-                s.user().closed();
+                s.ended();
             }
             return ctx.getInvokeAction();
         }
@@ -184,7 +192,7 @@
             b.tryDispose();
             Stream s = STREAM.get(ctx.getConnection());
             if (s != null) {
-                s.user().came(piece);
+                s.came(piece);
             }
             return ctx.getStopAction();
         }
