--- a/app/src/test/java/walnutfield/app/ArrowsTest.java
+++ b/app/src/test/java/walnutfield/app/ArrowsTest.java
@@ -41,6 +41,18 @@
         "walnutfield.sse..", "walnutfield.orca..", "walnutfield.hosts..", "walnutfield.sip..").should().dependOnClassesThat()
         .resideInAnyPackage("walnutfield.net..", "org.glassfish..", "java.nio.channels..", "java.nio.file..", "javax.net..");
 
+    /** The platform's formats are as pure as the others, its gateway knows no other front and none of the stand-ins. */
+    @ArchTest
+    static final ArchRule PLATFORM_FORMATS_ARE_PURE = noClasses().that().resideInAnyPackage("walnutfield.rtsp..",
+        "walnutfield.board..", "walnutfield.settings..").should().dependOnClassesThat().resideInAnyPackage("walnutfield.net..",
+            "walnutfield.loop..", "walnutfield.platform..", "walnutfield.gateway..", "org.glassfish..", "java.nio.channels..",
+            "java.nio.file..", "java.util.concurrent..");
+
+    @ArchTest
+    static final ArchRule PLATFORM_STANDS_ALONE = noClasses().that().resideInAPackage("walnutfield.platform..").should()
+        .dependOnClassesThat().resideInAnyPackage("walnutfield.gateway..", "walnutfield.standin..", "walnutfield.app..",
+            "walnutfield.bench..", "walnutfield.hls..", "walnutfield.decide..");
+
     /** Transactions and dialogs take their time from outside. */
     @ArchTest
     static final ArchRule SIP_HAS_NO_CLOCK = noClasses().that().resideInAPackage("walnutfield.sip..").should()
