--- a/net/src/main/java/walnutfield/net/stream/Stream.java
+++ b/net/src/main/java/walnutfield/net/stream/Stream.java
@@ -1,11 +1,14 @@
 package walnutfield.net.stream;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnection;
 
 /** One TCP stream. Any thread may write to it or close it. */
 public final class Stream {
@@ -55,6 +58,15 @@
         return connection.isOpen();
     }
 
+    /** Says that nothing more is sent; what its peer has still to say is read until that closes it. */
+    public void finish() {
+        try {
+            ((SocketChannel) ((TCPNIOConnection) connection).getChannel()).shutdownOutput();
+        } catch (IOException e) { // it is closed already, or broken
+            connection.closeSilently();
+        }
+    }
+
     /** Closes it; its user is told that it is closed. */
     public void close() {
         connection.closeSilently();
--- a/settings/src/main/java/walnutfield/settings/Settings.java
+++ b/settings/src/main/java/walnutfield/settings/Settings.java
@@ -137,6 +137,11 @@
         return limits.path("keepalive").asDouble();
     }
 
+    /** A host tells each gateway with sessions there its load so often; 0 if not. */
+    public double reportMs() {
+        return fam.path("tell").asDouble();
+    }
+
     /** Set-ups that may be out on one connection at a time. */
     public int streamsAConnection() {
         return (int) Math.max(1, Math.min(Integer.MAX_VALUE, limits.path("streamsPerConn").asLong(1)));
