--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -20,6 +20,7 @@
 import walnutfield.bench.Adapter;
 import walnutfield.gateway.GatewayServer;
 import walnutfield.platform.BadConfig;
+import walnutfield.platform.Practice;
 import walnutfield.platform.Service;
 import walnutfield.play.Ladder;
 import walnutfield.record.Making;
@@ -239,11 +240,14 @@
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
 
+        @Option(names = "--practise", hidden = true, description = "plays one set-up on loopback and ends: the build archives what it loads")
+        private boolean practise;
+
         @Override
         public Integer call() throws Exception {
             Logs.to(null, Level.INFO);
             try {
-                return Service.run(System.getenv());
+                return practise ? Practice.run() : Service.run(System.getenv());
             } catch (BadConfig e) {
                 spec.commandLine().getErr().println("configuration: " + e.getMessage());
                 return BAD_INPUT;
--- a/sip/src/main/java/walnutfield/sip/Framer.java
+++ b/sip/src/main/java/walnutfield/sip/Framer.java
@@ -4,12 +4,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 /**
  * Cuts a stream into messages by Content-Length (RFC 3261, section 18.3), wherever it was split on its way. Keep-alives
  * (RFC 5626, section 4.4.1) are passed over, and told of where they want an answer.
  */
 public final class Framer {
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,9}");
     private static final byte[] PING = {'\r', '\n', '\r', '\n'};
 
     private final int most;
@@ -100,7 +102,7 @@
             String name = colon < 0 ? "" : line.substring(0, colon).strip();
             if (name.equalsIgnoreCase("Content-Length") || name.equalsIgnoreCase("l")) {
                 String v = line.substring(colon + 1).strip();
-                return v.matches("[0-9]{1,9}") ? Long.parseLong(v) : -1;
+                return LENGTH.matcher(v).matches() ? Long.parseLong(v) : -1;
             }
         }
         return -1;
