What a host says at once on a new connection is read: the release lost at starts

A host tells on the next connection what it could not before, at once; Streams.dial gives a stream its user on the dialling thread, and Streams.Bytes.handleRead dropped what the sockets' thread had read before that. The new test fails on the old code.

--- a/net/src/main/java/walnutfield/net/stream/Stream.java
+++ b/net/src/main/java/walnutfield/net/stream/Stream.java
@@ -3,7 +3,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.ArrayList;
+import java.util.List;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
@@ -14,27 +15,40 @@
 public final class Stream {
     private final Connection<?> connection;
     private final MemoryManager<?> memory;
-    private final AtomicBoolean told = new AtomicBoolean();
-    private volatile Streams.User user;
+    private final List<byte[]> early = new ArrayList<>(); // emptied when it has a user
+    private Streams.User user;
+    private boolean closed;
 
     Stream(Connection<?> connection, MemoryManager<?> memory) {
         this.connection = connection;
         this.memory = memory;
     }
 
-    void is(Streams.User its) {
+    /** It is used by that from now on, and told what came before. */
+    synchronized void is(Streams.User its) {
         user = its;
+        early.forEach(user::came);
+        early.clear();
+        if (closed) {
+            user.closed();
+        }
     }
 
-    void came(byte[] piece) {
-        user.came(piece);
+    /** Guards against a peer that speaks at once: what it says may be read before anyone uses the stream. */
+    synchronized void came(byte[] piece) {
+        if (user == null) {
+            early.add(piece);
+        } else {
+            user.came(piece);
+        }
     }
 
     /** Tells its user, once, that it is closed. */
-    void ended() {
-        if (told.compareAndSet(false, true)) {
+    synchronized void ended() {
+        if (!closed && user != null) {
             user.closed();
         }
+        closed = true;
     }
 
     public InetSocketAddress remote() {
--- a/net/src/main/java/walnutfield/net/stream/Streams.java
+++ b/net/src/main/java/walnutfield/net/stream/Streams.java
@@ -108,9 +108,9 @@
                     c.closeSilently();
                     return;
                 }
-                Stream s = new Stream(c, transport.getMemoryManager());
+                Stream s = of(c);
                 s.is(up.opened(s));
-                known(c, s);
+                endedAlready(c, s);
             }
 
             @Override
@@ -127,12 +127,22 @@
         };
     }
 
+    private Stream of(Connection<?> c) {
+        synchronized (c) {
+            Stream s = STREAM.get(c);
+            if (s == null) {
+                s = new Stream(c, transport.getMemoryManager());
+                STREAM.set(c, s);
+            }
+            return s;
+        }
+    }
+
     /**
-     * From now on its user is told of it. Guards against a stream that was closed, by another thread or its peer, before
-     * it was known here: nobody would ever tell its user.
+     * Guards against a stream that was closed, by another thread or its peer, before it was known here: nobody would ever
+     * tell its user.
      */
-    private static void known(Connection<?> c, Stream s) {
-        STREAM.set(c, s);
+    private static void endedAlready(Connection<?> c, Stream s) {
         if (!c.isOpen()) {
             s.ended();
         }
@@ -149,14 +159,14 @@
         public NextAction handleAccept(FilterChainContext ctx) {
             Connection<?> c = ctx.getConnection();
             open.incrementAndGet();
-            Stream made = new Stream(c, transport.getMemoryManager());
+            Stream made = of(c);
             User user = taker.opened(made);
             if (user == null) {
                 c.closeSilently();
                 return ctx.getStopAction();
             }
             made.is(user);
-            known(c, made);
+            endedAlready(c, made);
             return ctx.getInvokeAction();
         }
 
@@ -169,7 +179,7 @@
         @Override
         public NextAction handleClose(FilterChainContext ctx) {
             open.decrementAndGet();
-            Stream s = STREAM.remove(ctx.getConnection());
+            Stream s = STREAM.get(ctx.getConnection());
             if (s != null) {
                 s.ended();
             }
@@ -183,17 +193,14 @@
     }
 
     /** Hands on what was read. */
-    private static final class Bytes extends BaseFilter {
+    private final class Bytes extends BaseFilter {
         @Override
         public NextAction handleRead(FilterChainContext ctx) {
             Buffer b = ctx.getMessage();
             byte[] piece = new byte[b.remaining()];
             b.get(piece);
             b.tryDispose();
-            Stream s = STREAM.get(ctx.getConnection());
-            if (s != null) {
-                s.came(piece);
-            }
+            of(ctx.getConnection()).came(piece);
             return ctx.getStopAction();
         }
     }
--- a/net/src/test/java/walnutfield/net/stream/StreamsTest.java
+++ b/net/src/test/java/walnutfield/net/stream/StreamsTest.java
@@ -103,6 +103,36 @@
         }
     }
 
+    /** Seen at starts: a host releases what ended before on a new connection at once, and that was read before anyone used it. */
+    @Test
+    void whatAPeerSaysAtOnceIsNotLost() throws Exception {
+        try (ServerSocket peer = new ServerSocket(0, 5, new InetSocketAddress("127.0.0.1", 0).getAddress())) {
+            Thread speaks = new Thread(() -> {
+                for (int i = 0; i < 50; i++) {
+                    try (Socket there = peer.accept()) {
+                        there.getOutputStream().write("early".getBytes());
+                    } catch (java.io.IOException e) {
+                        told.add(e);
+                    }
+                }
+            });
+            speaks.start();
+            for (int i = 0; i < 50; i++) {
+                streams.dial((InetSocketAddress) peer.getLocalSocketAddress(), s -> {
+                    try {
+                        Thread.sleep(5); // who dialled comes to it later than the bytes
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                    return user();
+                }, told::add);
+                assertEquals("early", next());
+                assertEquals("closed", next());
+            }
+            speaks.join();
+        }
+    }
+
     @Test
     void aDialThatIsRefusedIsToldOnceAndOneGivenUpLeavesNothingOpen() throws Exception {
         InetSocketAddress free;
