--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -3,7 +3,6 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +24,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(GatewayServer.class);
     private static final int ANSWER_LOOK_MS = 20;
     private static final int SWEEP_MS = 25;
+    private static final int ASK_MS = 5_000; // the desk must come to a question within this
 
     /** Makes a gateway's desk, given where its results go. */
     public interface DeskMaker {
@@ -123,32 +123,17 @@
         admission.drain();
         double until = Clock.now() + mostMs;
         LOG.atInfo().addKeyValue("gateway", name).log("gateway draining");
-        while (Clock.now() < until && ask(plays::unanswered) > 0) {
+        while (Clock.now() < until && thread.ask(plays::unanswered, ASK_MS) > 0) {
             pause();
         }
-        ask(() -> {
+        thread.ask(() -> {
             plays.keepLearnt();
             return 0;
-        });
+        }, ASK_MS);
         close();
         LOG.atInfo().addKeyValue("gateway", name).log("gateway ended");
     }
 
-    private int ask(java.util.function.IntSupplier what) {
-        CountDownLatch done = new CountDownLatch(1);
-        int[] answer = new int[1];
-        thread.post(() -> {
-            answer[0] = what.getAsInt();
-            done.countDown();
-        });
-        try {
-            return done.await(5, TimeUnit.SECONDS) ? answer[0] : 0;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return 0;
-        }
-    }
-
     private static void pause() {
         try {
             Thread.sleep(ANSWER_LOOK_MS);
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 import walnutfield.desk.Call;
 import walnutfield.desk.Carrier;
+import walnutfield.desk.OneCall;
 import walnutfield.desk.Taker;
 import walnutfield.gateway.Viewing.Came;
 import walnutfield.gateway.Viewing.Phase;
@@ -50,7 +51,6 @@
     private final Map<HostId, Double> probes = new HashMap<>();          // sent when; emptied as they come in
     private ListClient list;
     private long next = 1;
-    private boolean telling;
     private int unanswered;
     private volatile int openPlays;
 
@@ -66,7 +66,7 @@
         this.prober = prober;
         this.front = front;
         this.hostTerms = hostTerms;
-        desk = maker.make(this, beside);
+        desk = new OneCall(maker.make(this, beside));
     }
 
     void begin(ListClient with) {
@@ -86,15 +86,7 @@
     }
 
     void tell(Call call) {
-        if (telling) { // a result must not call back into the desk
-            throw new IllegalStateException("a call within a call: " + call);
-        }
-        telling = true;
-        try {
-            desk.take(thread.now(), call);
-        } finally {
-            telling = false;
-        }
+        desk.take(thread.now(), call);
         openPlays = byPlay.size();
     }
 
--- a/net/src/main/java/walnutfield/loop/DeskThread.java
+++ b/net/src/main/java/walnutfield/loop/DeskThread.java
@@ -3,9 +3,11 @@
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import walnutfield.net.Clock;
@@ -95,6 +97,22 @@
         return queue.size();
     }
 
+    /** From another thread: what holds on this one; 0 where it does not come to it in time. */
+    public int ask(IntSupplier what, long mostMs) {
+        CountDownLatch done = new CountDownLatch(1);
+        int[] answer = new int[1];
+        post(() -> {
+            answer[0] = what.getAsInt();
+            done.countDown();
+        });
+        try {
+            return done.await(mostMs, TimeUnit.MILLISECONDS) ? answer[0] : 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 0;
+        }
+    }
+
     /** Ends it; the desk has had its last call when this returns. */
     public void stop() {
         stopped = true;
--- a/net/src/main/java/walnutfield/net/stream/Stream.java
+++ b/net/src/main/java/walnutfield/net/stream/Stream.java
@@ -1,7 +1,6 @@
 package walnutfield.net.stream;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -51,14 +50,6 @@
         closed = true;
     }
 
-    public InetSocketAddress remote() {
-        return (InetSocketAddress) connection.getPeerAddress();
-    }
-
-    public boolean isOpen() {
-        return connection.isOpen();
-    }
-
     /** Writes it after what was written before; a peer that left too much unread is cut. False where nothing was written. */
     public boolean send(byte[] bytes) {
         if (!connection.isOpen()) {
