A restarted gateway takes its part of a cold host's pace; plays are answered at the end

Cause, Director.mayTake: since was the later of coldSince and unprovenSince, and listRemembered sets the latter to now, so that the host counted as merely unproven (1.2 parts) and not as cold (a part for each gateway). Both count now, and the stricter holds. Ruled out: the branch of turns (gap under the fall time): its sum is at most 1.2 N.

--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -101,6 +101,7 @@
     private double averageUse, averageOwn, averageAt = Double.NEGATIVE_INFINITY;
     private double fellows = Double.POSITIVE_INFINITY; // the fellows' usual quantile of answer times
     private double nextRecheck, probeTokens, askAgainAt = Double.POSITIVE_INFINITY;
+    private double begunAt = Double.NEGATIVE_INFINITY; // this gateway's life
     private double life = LIFE_MS, credit = 1; // usual length and credit of a play
     private Witness witness;
 
@@ -139,6 +140,7 @@
         listWhole(now, lines);
         fleet.all().forEach(h -> h.unprovenSince = now); // an old list proves nothing of now
         askAgainAt = reports.askForList() ? now : Double.POSITIVE_INFINITY;
+        begunAt = now;
         if (nextRecheck == 0) { // fellows that start together look at their plays at times of their own
             nextRecheck = now + RECHECK_MS * (0.5 + chance.next());
             out.wake(now + LOOK_MS, "look");
@@ -451,6 +453,16 @@
         plays.remove(id);
     }
 
+    /** This gateway ends now: every play without its final answer gets it; a leg that is out may have run. */
+    public void ending(double now) {
+        for (Play p : new ArrayList<>(plays.values())) {
+            if (!p.answered) {
+                p.mayHaveRun |= p.legOut;
+                giveUp(p, now);
+            }
+        }
+    }
+
     private void load(Play p, double now) {
         fleet.put(p);
         p.host.legsOut += p.plays ? 0 : 1;
@@ -593,15 +605,20 @@
      *  is under one play in the time that counts, plays pass by chance, at odds that sum to the pace over all
      *  gateways however many plays each takes, as a play counts in its own odds. */
     private double mayTake(Host h, Play p, double now) {
-        double since = Math.max(h.coldSince, h.unprovenSince);
+        double unproven = mayTake(h, p, h.unprovenSince, Math.min(post.gateways(), UNPROVEN_PARTS), now);
+        return Math.max(unproven, mayTake(h, p, h.coldSince, post.gateways(), now)); // fellows see a cold one too
+    }
+
+    private double mayTake(Host h, Play p, double since, double parts, double now) {
         if (cold.warmMs() <= 0 || cold.fallMs() <= 0 || now - since >= cold.warmMs() || h.line.slots() <= 0) {
             return Double.NEGATIVE_INFINITY;
         }
         double pace = h.line.slots() / cold.warmMs() * cold.warmth(since, now); // set-ups a ms
-        double parts = h.coldSince >= since ? post.gateways() : Math.min(post.gateways(), UNPROVEN_PARTS);
         double gap = parts / (pace * cold.multiple() * COLD_MARGIN);
         if (gap > cold.fallMs()) {
-            double odds = COLD_SPAN_MS / (gap * Math.max(1, lately.count(now)));
+            double known = Math.min(COLD_SPAN_MS, Math.max(LOOK_MS, now - begunAt)); // few are known of a new life
+            double seen = lately.count(now) * (parts < post.gateways() ? 1 : COLD_SPAN_MS / known);
+            double odds = COLD_SPAN_MS / (gap * Math.max(1, seen));
             return p.luck < odds ? h.lastSent + gap : Double.POSITIVE_INFINITY;
         }
         double turn = gap * (post.me() + 0.5) / post.gateways(); // fellows begin in turn
--- a/core/src/main/java/walnutfield/desk/Call.java
+++ b/core/src/main/java/walnutfield/desk/Call.java
@@ -136,6 +136,14 @@
         }
     }
 
+    /** This gateway ends now: no play waits any longer for its final answer. */
+    record Ending() implements Call {
+        @Override
+        public void tell(Director director, double now) {
+            director.ending(now);
+        }
+    }
+
     /** The share of its plays' rates that a host delivers, from 0 to 1. */
     record ShareTold(HostId host, double share) implements Call {
         @Override
--- a/core/src/main/java/walnutfield/decide/Chance.java
+++ b/core/src/main/java/walnutfield/play/Chance.java
@@ -1,20 +1,20 @@
-package walnutfield.decide;
+package walnutfield.play;
 
 import java.util.zip.CRC32;
 
 /** Chance from the instance's seed and a counter. CRC32 alone is linear: of two draws in a row, or of two instances'
  *  draws of the same number, the bits that differ are nearly always the same, so that a small chance now made one next
  *  twice as likely. Its sum is mixed (MurmurHash3's last step), which maps no two sums to one. */
-final class Chance {
+public final class Chance {
     private final long seed;
     private long drawn;
 
-    Chance(long seed) {
+    public Chance(long seed) {
         this.seed = seed;
     }
 
     /** From 0 up to 1. */
-    double next() {
+    public double next() {
         CRC32 crc = new CRC32();
         long n = drawn++;
         for (int i = 0; i < 8; i++) {
--- a/core/src/test/java/walnutfield/DirectorTest.java
+++ b/core/src/test/java/walnutfield/DirectorTest.java
@@ -518,6 +518,43 @@
         assertTrue(late >= 10 && late <= 60, "sent in the next 8 s: " + late);
     }
 
+    /** Gateways that are restarted together know of a host that has just started, and each knows little of its own traffic. */
+    @ParameterizedTest
+    @CsvSource({"200, 30", "30, 30", "20, 10"})
+    void gatewaysRestartedTogetherFellNoColdHost(int gateways, int plays) { // in 2 s it stands N = 40 slots / 12 s x 0.5 x 3 x 2 s = 10
+        int sent = 0;
+        for (int seed = 0; seed < gateways; seed++) {
+            Bench b = new Bench(seed, gateways, new LegTerms(4, 0, -1, 0), 12_000, false);
+            b.pass(5_000);
+            List<HostLine> known = b.fleet(0);
+            known.set(0, Bench.line(0, HostLine.Standing.READY, b.now - 500));
+            b.director.listRemembered(b.now, known);
+            for (int i = 0; i < plays; i++) {
+                b.pass(2_000.0 / plays);
+                PlayId p = b.want(FREE, 0, 1, 300);
+                sent += b.sentTo(p) == 0 ? 1 : 0;
+            }
+        }
+        assertTrue(sent <= 10 + 2 * Math.sqrt(10) + 2, "sent in 2 s: " + sent);
+    }
+
+    @Test
+    void atTheEndEveryPlayWithoutAnAnswerGetsItOnceByWhatMayHaveRun() {
+        Bench b = new Bench(1, new LegTerms(4, 0, -1, 0), 0, false);
+        PlayId plays = b.want(PAID, 4000);
+        b.start(plays, 0, b.sentTo(plays), 10);
+        PlayId paid = b.want(PAID, 4000);
+        PlayId free = b.want(FREE, 4000);
+        b.director.listChanged(b.now, b.fleet(0).stream()
+            .map(l -> new HostLine(l.host(), l.place(), l.slots(), l.cell(), HostLine.Standing.DRAINING, 1, 0)).toList());
+        PlayId held = b.want(PAID, 4000);
+        assertEquals(-1, b.sentTo(held));
+        b.director.ending(b.now);
+        b.pass(5_000);
+        assertEquals(List.of("error " + paid.value(), "shed " + free.value(), "shed " + held.value()),
+            b.out.stream().filter(s -> s.startsWith("error") || s.startsWith("shed")).toList());
+    }
+
     @Test
     void aGatewayThatStoodStillDoubtsNoHostForIt() {
         Bench b = Bench.plain();
--- a/core/src/test/java/walnutfield/decide/ChanceTest.java
+++ b/core/src/test/java/walnutfield/play/ChanceTest.java
@@ -1,4 +1,4 @@
-package walnutfield.decide;
+package walnutfield.play;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/record/src/main/java/walnutfield/record/Codec.java
+++ b/record/src/main/java/walnutfield/record/Codec.java
@@ -37,6 +37,8 @@
             b.setListWhole(list(l.lines()));
         } else if (c instanceof Call.ListChanged l) {
             b.setListChanged(list(l.lines()));
+        } else if (c instanceof Call.Ending) {
+            b.setEnding(Nothing.getDefaultInstance());
         } else if (c instanceof Call.ListLost) {
             b.setListLost(Nothing.getDefaultInstance());
         } else if (c instanceof Call.WishTaken w) {
@@ -76,6 +78,7 @@
             case LIST_WHOLE -> new Call.ListWhole(lines(c.getListWhole()));
             case LIST_CHANGED -> new Call.ListChanged(lines(c.getListChanged()));
             case LIST_LOST -> new Call.ListLost();
+            case ENDING -> new Call.Ending();
             case WISH_TAKEN -> new Call.WishTaken(wish(c.getWishTaken()));
             case UNDER_WAY -> new Call.UnderWay(wish(c.getUnderWay().getWish()), new HostId(c.getUnderWay().getHost()));
             case RUNG_TOLD -> new Call.RungTold(new PlayId(c.getRungTold().getPlay()), c.getRungTold().getRung());
