--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -123,7 +123,7 @@
         admission.drain();
         double until = Clock.now() + mostMs;
         LOG.atInfo().addKeyValue("gateway", name).log("gateway draining");
-        while (Clock.now() < until && thread.ask(plays::unanswered, ASK_MS) > 0) {
+        while (Clock.now() < until && thread.ask(plays::unanswered, ASK_MS) != 0) {
             pause();
         }
         thread.ask(() -> {
--- a/net/src/main/java/walnutfield/loop/DeskThread.java
+++ b/net/src/main/java/walnutfield/loop/DeskThread.java
@@ -97,7 +97,7 @@
         return queue.size();
     }
 
-    /** From another thread: what holds on this one; 0 where it does not come to it in time. */
+    /** From another thread: what holds on this one, which is never negative; -1 where it does not come to it in time. */
     public int ask(IntSupplier what, long mostMs) {
         CountDownLatch done = new CountDownLatch(1);
         int[] answer = new int[1];
@@ -106,10 +106,10 @@
             done.countDown();
         });
         try {
-            return done.await(mostMs, TimeUnit.MILLISECONDS) ? answer[0] : 0;
+            return done.await(mostMs, TimeUnit.MILLISECONDS) ? answer[0] : -1;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return 0;
+            return -1;
         }
     }
 
