--- a/net/src/main/java/walnutfield/net/stream/Stream.java
+++ b/net/src/main/java/walnutfield/net/stream/Stream.java
@@ -1,10 +1,15 @@
 package walnutfield.net.stream;
 
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 import org.glassfish.grizzly.nio.NIOConnection;
@@ -15,6 +20,12 @@
     private final Connection<?> connection;
     private final MemoryManager<?> memory;
     private final List<byte[]> early = new ArrayList<>(); // emptied when it has a user
+    private final CompletionHandler<WriteResult<Buffer, SocketAddress>> refused = new EmptyCompletionHandler<>() { // guards against a message that is dropped without a
+        @Override                                                                // word: the bound may be passed by part of one only
+        public void failed(Throwable why) {
+            Stream.this.connection.terminateSilently(); // a close would wait until all that was written is read
+        }
+    };
     private Streams.User user;
     private boolean closed;
 
@@ -56,10 +67,10 @@
             return false;
         }
         if (!connection.canWrite()) { // guards memory against a peer that does not read; it harms one that is only slow
-            connection.closeSilently();
+            connection.terminateSilently();
             return false;
         }
-        ((NIOConnection) connection).write(Buffers.wrap(memory, bytes), null);
+        ((NIOConnection) connection).write(Buffers.wrap(memory, bytes), refused);
         return connection.isOpen();
     }
 
