--- a/net/src/main/java/walnutfield/net/stream/Stream.java
+++ b/net/src/main/java/walnutfield/net/stream/Stream.java
@@ -1,15 +1,10 @@
 package walnutfield.net.stream;
 
 import java.io.IOException;
-import java.net.SocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
-import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 import org.glassfish.grizzly.nio.NIOConnection;
@@ -20,12 +15,6 @@
     private final Connection<?> connection;
     private final MemoryManager<?> memory;
     private final List<byte[]> early = new ArrayList<>(); // emptied when it has a user
-    private final CompletionHandler<WriteResult<Buffer, SocketAddress>> refused = new EmptyCompletionHandler<>() { // guards against a message that is dropped without a
-        @Override                                                                // word: the bound may be passed by part of one only
-        public void failed(Throwable why) {
-            Stream.this.connection.terminateSilently(); // a close would wait until all that was written is read
-        }
-    };
     private Streams.User user;
     private boolean closed;
 
@@ -66,11 +55,12 @@
         if (!connection.isOpen()) {
             return false;
         }
-        if (!connection.canWrite()) { // guards memory against a peer that does not read; it harms one that is only slow
+        if (!connection.canWrite()) { // guards memory against a peer that does not read, where a close would wait until it
+                                      // has read all that is pending; it harms one that is only slow
             connection.terminateSilently();
             return false;
         }
-        ((NIOConnection) connection).write(Buffers.wrap(memory, bytes), refused);
+        ((NIOConnection) connection).write(Buffers.wrap(memory, bytes), null);
         return connection.isOpen();
     }
 
