--- a/core/src/main/java/walnutfield/decide/Director.java
+++ b/core/src/main/java/walnutfield/decide/Director.java
@@ -606,7 +606,7 @@
      *  gateways however many plays each takes, as a play counts in its own odds. */
     private double mayTake(Host h, Play p, double now) {
         double unproven = mayTake(h, p, h.unprovenSince, Math.min(post.gateways(), UNPROVEN_PARTS), now);
-        return Math.max(unproven, mayTake(h, p, h.coldSince, post.gateways(), now)); // fellows see a cold one too
+        return Math.max(unproven, mayTake(h, p, h.coldSince, post.gateways(), now)); // fellows see both
     }
 
     private double mayTake(Host h, Play p, double since, double parts, double now) {
@@ -616,7 +616,7 @@
         double pace = h.line.slots() / cold.warmMs() * cold.warmth(since, now); // set-ups a ms
         double gap = parts / (pace * cold.multiple() * COLD_MARGIN);
         if (gap > cold.fallMs()) {
-            double known = Math.min(COLD_SPAN_MS, Math.max(LOOK_MS, now - begunAt)); // few are known of a new life
+            double known = Math.min(COLD_SPAN_MS, Math.max(LOOK_MS, now - begunAt)); // a new life saw few
             double seen = lately.count(now) * (parts < post.gateways() ? 1 : COLD_SPAN_MS / known);
             double odds = COLD_SPAN_MS / (gap * Math.max(1, seen));
             return p.luck < odds ? h.lastSent + gap : Double.POSITIVE_INFINITY;
