--- a/review/src/LateConnections.java
+++ b/review/src/LateConnections.java
@@ -5,14 +5,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * Some connections to one media host come up late (at most 1 s late). It is sound, its open connections stay open and
- * its sessions play on. None of them may be ended.
+ * its sessions play on. None of them may be ended, and the seats that they hold may not be given away.
  */
 final class LateConnections {
-    private static final int SESSIONS = 9;
+    private static final String OTHER_TITLE = "00f31b70aa19c4e2";
     private static final int BURSTS = 4;
     private static final int BURST = 12; // set-ups
     private static final long LATE_MS = 900; // how long connections do not come up; each is at most 1 s late
@@ -84,24 +83,30 @@
         }
         hosts.forEach(host -> host.answerMs = 60);
         Rig.Board board = rig.new Board();
-        rig.startGateway(board, hosts, Rig.settings(false));
+        rig.startGateway(board, hosts, Rig.settings("lang-sal"));
         Thread.sleep(6_000); // no host counts as cold any more
         Rig.Viewer viewer = rig.new Viewer();
-        Set<String> playing = new HashSet<>();
-        for (int i = 0; i < 3 * SESSIONS && late.host.standing.size() < SESSIONS / 3; i++) {
-            String id = viewer.setUp("kurs-logg", 0, 3, 3_000);
-            Rig.Message answer = viewer.answer(id, 3_500);
-            if (answer != null && answer.status() == 200 && late.host.standing.containsKey(id)) {
-                playing.add(id);
+
+        // All seats of the title are taken, at least one of them at the host in question.
+        Set<String> ofTitle = new HashSet<>();
+        for (int round = 0; round < 8 && standing(hosts, ofTitle, late.host) == 0; round++) {
+            for (String id : ofTitle) {
+                viewer.end(id);
+            }
+            Thread.sleep(200);
+            ofTitle.clear();
+            for (int i = 0; i < Rig.SEATS; i++) {
+                ask(viewer, ofTitle);
             }
-            Thread.sleep(100);
         }
-        if (playing.isEmpty()) {
-            throw new Rig.CannotRun("no session stands at the host");
+        if (standing(hosts, ofTitle, late.host) == 0 || standing(hosts, ofTitle, null) != Rig.SEATS) {
+            throw new Rig.CannotRun("the seats are not taken as wanted");
         }
-        rig.note(late.host.name + " has the sessions " + playing);
-        hosts.forEach(host -> host.answerMs = 400);
-        for (int burst = 0; burst < BURSTS && cut(viewer, playing).isEmpty(); burst++) {
+        rig.note("all " + Rig.SEATS + " seats of title " + Rig.TITLE + " are taken, "
+                + standing(hosts, ofTitle, late.host) + " of them at " + late.host.name);
+
+        hosts.forEach(host -> host.answerMs = 900);
+        for (int burst = 0; burst < BURSTS && ended(viewer, ofTitle).isEmpty(); burst++) {
             double note = late.host.notedAt;
             for (int i = 0; i < 500 && late.host.notedAt == note; i++) {
                 Thread.sleep(10);
@@ -110,33 +115,58 @@
             if (Rig.TROUBLE) {
                 late.beLate();
             }
-            List<String> asked = new CopyOnWriteArrayList<>();
+            List<String> asked = new ArrayList<>();
             for (int i = 0; i < BURST; i++) {
-                asked.add(viewer.setUp("kurs-logg", 0, 3, 3_000));
+                asked.add(viewer.setUp(OTHER_TITLE, "prove", 0, 3, 12_000));
                 Thread.sleep(10);
             }
             for (String id : asked) {
-                Rig.Message answer = viewer.answer(id, 3_600);
+                Rig.Message answer = viewer.answer(id, 12_600);
                 if (answer != null && answer.status() == 200) {
                     viewer.end(id);
                 }
             }
         }
-        Thread.sleep(500);
-        List<String> cut = cut(viewer, playing);
-        for (String id : cut) {
+        Thread.sleep(1_500);
+        for (String id : ended(viewer, ofTitle)) {
             rig.note("session " + id + " was ended towards its viewer; at its media host it "
                     + (late.host.standing.containsKey(id) ? "still stands" : "is over"));
         }
-        return cut.isEmpty() ? null : cut.size() + " of " + playing.size()
-                + " playing sessions were ended, though their media host was sound and had not released them";
+        int ended = ended(viewer, ofTitle).size();
+        hosts.forEach(host -> host.answerMs = 60);
+
+        // Viewers ask for the title again; with all seats taken they have to be turned away.
+        for (int i = 0; i < Rig.SEATS; i++) {
+            ask(viewer, ofTitle);
+        }
+        int held = standing(hosts, ofTitle, null);
+        rig.note("sessions of title " + Rig.TITLE + " that stand at media hosts now: " + held + ", seats: " + Rig.SEATS);
+        return held <= Rig.SEATS
+                ? null
+                : ended + " playing sessions were ended towards their viewers, though their media host was sound; "
+                        + held + " sessions of one title stand at media hosts, where " + Rig.SEATS + " seats are set";
+    }
+
+    private static void ask(Rig.Viewer viewer, Set<String> ofTitle) throws Exception {
+        String id = viewer.setUp("direkte", 0, 3, 6_000);
+        ofTitle.add(id);
+        viewer.answer(id, 6_600);
+        Thread.sleep(50);
+    }
+
+    /** How many sessions of the title stand, as the media hosts see it; at one of them, or (null) at all together. */
+    private static int standing(List<Rig.Host> hosts, Set<String> ofTitle, Rig.Host only) {
+        return hosts.stream()
+                .filter(host -> only == null || host == only)
+                .mapToInt(host -> (int) host.standing.keySet().stream().filter(ofTitle::contains).count())
+                .sum();
     }
 
-    /** The playing sessions that the gateway has ended towards their viewer. */
-    private static List<String> cut(Rig.Viewer viewer, Set<String> playing) {
+    /** The sessions of the title that the gateway has ended towards their viewer. */
+    private static List<String> ended(Rig.Viewer viewer, Set<String> ofTitle) {
         synchronized (viewer.received) {
             return viewer.received.stream()
-                    .filter(message -> message.is("TEARDOWN") && playing.contains(message.session()))
+                    .filter(message -> message.is("TEARDOWN") && ofTitle.contains(message.session()))
                     .map(Rig.Message::session)
                     .toList();
         }
--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -32,6 +32,7 @@
 final class Rig implements Closeable {
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    static final int SEATS = 4; // of a title in the second class, where a site has seats
     static final int TELL_MS = 3000; // time between the notes of a media host
     static final String TITLE = "7f3a9c21e0b4d655";
 
@@ -75,29 +76,35 @@
     /**
      * Settings as a gateway of a small deployment gets them.
      *
-     * @param treino whether they are those of treino-parana, else of bergen-kurs
+     * @param site treino-parana, lang-sal or bergen-kurs
      */
-    static String settings(boolean treino) {
-        String classes = treino
+    static String settings(String site) {
+        boolean treino = site.equals("treino-parana");
+        boolean langSal = site.equals("lang-sal");
+        String classes = langSal
+                ? "{'name':'prove','onTime':3000,'giveUp':12000,'worth':4,'repeat':'once','stream':true,'group':'all','window':5000},"
+                        + "{'name':'direkte','onTime':1500,'giveUp':6000,'worth':2,'repeat':'repeatable','stream':true,'group':'all','window':5000}"
+                : treino
                 ? "{'name':'aula-certificada','onTime':1000,'giveUp':5000,'worth':2,'repeat':'once','stream':true,'group':'all','window':5000},"
                         + "{'name':'aula-consulta','onTime':1000,'giveUp':3000,'worth':1,'repeat':'repeatable','stream':true,'group':'all','window':5000}"
                 : "{'name':'kurs-logg','onTime':800,'giveUp':3000,'worth':3,'repeat':'once','stream':true,'group':'all','window':5000},"
                         + "{'name':'fri-visning','onTime':1500,'giveUp':5000,'worth':1,'repeat':'repeatable','stream':true,'group':'all','window':5000}";
         return ("{'accounts':[],'balancers':2,'me':0,'classes':[" + classes + "],"
                 + "'clients':{'marksRetry':true},'discovery':'push','family':'streams',"
-                + "'familyInfo':{'allLinksKb':37000,'classSeats':[0,0],'classTop':[4,4],'floorByClass':[0,0],'guard':0,"
+                + "'familyInfo':{'allLinksKb':37000,'classSeats':[0," + (langSal ? SEATS : 0) + "],'classTop':[4,4],'floorByClass':[" + (langSal ? 1 : 0) + ",0],'guard':0,"
                 + "'isLive':[false,false],'join':1,'kindSlots':[40],'levelKb':[200,380,640,1070,1900],'positions':4,"
-                + "'rackKb':44000,'racks':1,'scaleByClass':[1,1],'stall':7,'switchS':0.6,'tell':" + TELL_MS + ",'toldLate':800,"
+                + "'rackKb':44000,'racks':1,'scaleByClass':" + (langSal ? "[1.3,0.7]" : "[1,1]") + ",'stall':7,'switchS':0.6,'tell':" + TELL_MS + ",'toldLate':800,"
                 + "'weightKb':3080,'worthByRung':[0.2,0.45,0.65,0.85,1]},"
                 + "'fees':{'connection':0,'crossZone':0.02,'discovery':0,'handshake':0,'lateFail':0.08,'moves':0.13,'origin':0,'peer':0,'probe':0,'waste':0},"
                 + "'kinds':['box'],"
-                + "'limits':{'cancelling':true,'cpuUsPerRequest':0,'cpuUsPerS':400000,'dialTimeout':250,'keepalive':15000,"
+                + "'limits':{'cancelling':true,'cpuUsPerRequest':0,'cpuUsPerS':400000,'dialTimeout':" + (langSal ? 600 : 250) + ",'keepalive':" + (langSal ? 30000 : 15000) + ","
                 + "'maxOpen':1500000,'maxRetryAfter':" + (treino ? 500 : 2000) + ",'mayTell':false,'parallelTries':false,"
-                + "'probing':false,'retryAfter':true,'streamsPerConn':32,'tryLimit':" + (treino ? 3 : 5) + "},"
+                + "'probing':false,'retryAfter':" + !langSal + ",'streamsPerConn':" + (langSal ? 1 : 32)
+                + ",'tryLimit':" + (treino ? 3 : langSal ? 2 : 5) + "},"
                 + "'localities':['hall-a'],'zone':'hall-a',"
                 + "'objectiveMix':{'whole':0.5,'worstClass':0.2,'worstTenant':0,'worstWindow':0.2},'overShareWorth':0.1,"
                 + "'report':{'columns':['active','x0'],'how':'inline'},'resolution':10,"
-                + "'rules':{'askWithin':10000,'coldFrom':0.5,'drainGrace':" + (treino ? 2000 : 250) + ",'fall':" + (treino ? 3000 : 1000)
+                + "'rules':{'askWithin':10000,'coldFrom':0.5,'drainGrace':" + (treino ? 2000 : langSal ? 3000 : 250) + ",'fall':" + (treino ? 3000 : langSal ? 4000 : 1000)
                 + ",'fallMultiple':2.5,'graceToAnswer':50,'warmWithin':5000},"
                 + "'tier':0,'tiers':['media'],'weights':'nominal','worthBy':'request'}").replace('\'', '"');
     }
@@ -326,7 +333,7 @@
                         continue;
                     }
                     note("board: the gateway closed its connection");
-                    line.close();
+                    socket.close();
                 });
                 Thread.sleep(answerDelayMs);
                 double lastFrameAt = 0;
@@ -470,8 +477,14 @@
                 }
                 start(name + " set-up", () -> {
                     Thread.sleep(answerMs);
-                    if (reached.containsKey(id)) {
-                        standing.put(id, line);
+                    boolean stands;
+                    synchronized (standing) { // it may be given up just now
+                        stands = reached.containsKey(id);
+                        if (stands) {
+                            standing.put(id, line);
+                        }
+                    }
+                    if (stands) {
                         line.send(new Message("RTSP/1.0 200 OK")
                                 .with("CSeq", "1")
                                 .with("Session", id)
@@ -483,8 +496,11 @@
                     }
                 });
             } else if (message.is("TEARDOWN")) {
-                reached.remove(message.session());
-                boolean stood = standing.remove(message.session()) != null;
+                boolean stood;
+                synchronized (standing) {
+                    reached.remove(message.session());
+                    stood = standing.remove(message.session()) != null;
+                }
                 if (!quiet) {
                     note(name + ": the gateway " + (stood ? "released session " : "gave up set-up ") + message.session());
                 }
@@ -607,9 +623,13 @@
         }
 
         String setUp(String trafficClass, int home, int copies, int waitMs) throws IOException {
+            return setUp(TITLE, trafficClass, home, copies, waitMs);
+        }
+
+        String setUp(String title, String trafficClass, int home, int copies, int waitMs) throws IOException {
             String id = newId();
-            note("viewer: set-up " + id + " of " + trafficClass + " sent");
-            send(setUpMessage(id, trafficClass, home, copies, waitMs,
+            note("viewer: set-up " + id + " of " + trafficClass + " for title " + title + " sent");
+            send(setUpMessage(title, id, trafficClass, home, copies, waitMs,
                     id + "\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"));
             return id;
         }
@@ -635,8 +655,9 @@
         return socket;
     }
 
-    static Message setUpMessage(String id, String trafficClass, int home, int copies, int waitMs, String description) {
-        return new Message("SETUP rtsp://media/" + TITLE + " RTSP/1.0")
+    static Message setUpMessage(
+            String title, String id, String trafficClass, int home, int copies, int waitMs, String description) {
+        return new Message("SETUP rtsp://media/" + title + " RTSP/1.0")
                 .with("CSeq", "1")
                 .with("Session", id)
                 .with("X-Call-Class", trafficClass)
@@ -653,7 +674,7 @@
                 try {
                     Thread.sleep(110_000);
                     rig.note("could not run: over its time");
-                    rig.close();
+                    rig.gateway.destroyForcibly();
                 } catch (Exception e) {
                     return;
                 }
--- a/review/src/SlowBoard.java
+++ b/review/src/SlowBoard.java
@@ -24,7 +24,7 @@
         }
         Rig.Board board = rig.new Board();
         board.answerDelayMs = Rig.TROUBLE ? SLOW_MS : 0;
-        rig.startGateway(board, hosts, Rig.settings(false));
+        rig.startGateway(board, hosts, Rig.settings("bergen-kurs"));
         Rig.Host draining = hosts.get(0);
         double told = Double.POSITIVE_INFINITY;
         Rig.Viewer viewer = rig.new Viewer();
--- a/review/src/TakenBack.java
+++ b/review/src/TakenBack.java
@@ -30,7 +30,7 @@
             hosts.add(host);
         }
         Rig.Board board = rig.new Board();
-        rig.startGateway(board, hosts, Rig.settings(true));
+        rig.startGateway(board, hosts, Rig.settings("treino-parana"));
         Thread.sleep(6_000); // no host counts as cold any more
         List<Asked> asked = new CopyOnWriteArrayList<>();
         List<String> lost = new CopyOnWriteArrayList<>();
@@ -128,7 +128,7 @@
             });
             for (; sent < SET_UPS_EACH; sent++) {
                 String id = rig.newId();
-                line.send(Rig.setUpMessage(id, "aula-certificada", 0, 4, WAIT_MS, filler));
+                line.send(Rig.setUpMessage(Rig.TITLE, id, "aula-certificada", 0, 4, WAIT_MS, filler));
                 line.send(Rig.tearDown(id));
             }
             rig.note("bad client: took back " + sent + " set-ups");
