--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -31,7 +31,7 @@
  */
 final class Rig implements Closeable {
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
-    static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    static boolean TROUBLE = true; // whether the disruption is played; set once, before a case runs
     static final int SEATS = 4; // of a title in the second class, where a site has seats
     static final int TELL_MS = 3000; // time between the notes of a media host
     static final String TITLE = "7f3a9c21e0b4d655";
@@ -158,6 +158,20 @@
         throw new CannotRun("the gateway passed no test in time");
     }
 
+    /** Asks the gateway for a thread dump (SIGQUIT); returns whether its thread that decides is still there. */
+    boolean hasDecidingThread() throws Exception {
+        new ProcessBuilder("/bin/sh", "-c", "kill -QUIT " + gateway.pid()).start().waitFor();
+        Thread.sleep(1_000);
+        boolean found = false;
+        for (String line : Files.readAllLines(folder.resolve("gateway.log"), StandardCharsets.ISO_8859_1)) {
+            found |= line.startsWith("\"desk\"");
+            if (line.contains("generation") && line.contains("used")) {
+                note("heap of the gateway: " + line.strip());
+            }
+        }
+        return found;
+    }
+
     void appendGatewayLog() throws IOException {
         record.println("---- log of the gateway");
         for (String line : Files.readAllLines(folder.resolve("gateway.log"), StandardCharsets.ISO_8859_1)) {
@@ -440,6 +454,9 @@
                 } finally {
                     lines.remove(line);
                     line.close();
+                    if (!quiet) {
+                        note(name + ": a connection of the gateway has ended");
+                    }
                 }
             });
         }
@@ -668,6 +685,7 @@
 
     /** Runs one case: exit status 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
     static void main(String[] arguments, Case body) {
+        TROUBLE = !arguments[2].equals("0");
         int status = 2;
         try (Rig rig = new Rig(arguments[0], arguments[1])) {
             Thread watchdog = new Thread(() -> {
--- a/review/src/TakenBack.java
+++ b/review/src/TakenBack.java
@@ -65,6 +65,9 @@
         }
         rig.note("at the end: a test is " + (tested ? "" : "not ") + "passed, a set-up is " + (answered ? "" : "not ")
                 + "answered");
+        if (rig.gateway.isAlive()) {
+            rig.note("thread dump: the thread that decides is " + (rig.hasDecidingThread() ? "there" : "gone"));
+        }
         rig.note("the gateway is " + (rig.gateway.isAlive() ? "alive" : "dead") + "; usual clients sent " + asked.size()
                 + " set-ups, of which lost " + lost.size());
         lost.forEach(rig::note);
