--- a/net/src/main/java/walnutfield/loop/EventLoop.java
+++ b/net/src/main/java/walnutfield/loop/EventLoop.java
@@ -1,7 +1,7 @@
 package walnutfield.loop;
 
 import java.util.Comparator;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -27,15 +27,35 @@
     private static final long MAX_IDLE_WAIT_MS = 1000;
     private static final long MAX_STOP_WAIT_MS = 2000;
 
-    private record Timer(double dueAt, long sequence, Runnable task) {}
+    /** A task that waits for its time. Used on the event loop only. */
+    public final class Timer {
+        private final double dueAt;
+        private final long sequence;
+        private final Runnable task;
+
+        private Timer(double dueAt, long sequence, Runnable task) {
+            this.dueAt = dueAt;
+            this.sequence = sequence;
+            this.task = task;
+        }
+
+        /**
+         * Cancels the task unless it has run. The event loop then keeps no reference to it, so that what the task would
+         * use can be freed before its time.
+         */
+        public void cancel() {
+            timers.remove(this);
+        }
+    }
 
     private record PostedTask(double postedAt, Runnable task) {}
 
     private final LinkedBlockingQueue<PostedTask> queue = new LinkedBlockingQueue<>();
     private final ConcurrentLinkedQueue<Runnable> urgent = new ConcurrentLinkedQueue<>();
     private final AtomicInteger queuedOffers = new AtomicInteger();
-    private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>(Comparator.comparingDouble(Timer::dueAt).thenComparingLong(Timer::sequence));
+    private final TreeSet<Timer> timers = // ordered, so that a cancelled timer is removed without a search
+            new TreeSet<>(Comparator.<Timer>comparingDouble(timer -> timer.dueAt)
+                    .thenComparingLong(timer -> timer.sequence));
     private final int maxQueuedOffers;
     private final LatencyListener latencyListener;
     private final Thread thread;
@@ -89,9 +109,20 @@
         return true;
     }
 
-    /** Runs the task at the given time. To be called on the event loop only. */
-    public void schedule(double time, Runnable task) {
-        timers.add(new Timer(time, nextTimerSequence++, task));
+    /**
+     * Runs the task at the given time. To be called on the event loop only.
+     *
+     * @return the timer, to be cancelled once the task has become pointless
+     */
+    public Timer schedule(double time, Runnable task) {
+        Timer timer = new Timer(time, nextTimerSequence++, task);
+        timers.add(timer);
+        return timer;
+    }
+
+    /** Returns the number of timers that wait for their time. To be called on the event loop only. */
+    public int pendingTimers() {
+        return timers.size();
     }
 
     /** Returns the time at which the current event was taken from the queue. */
@@ -142,12 +173,9 @@
     private void run() {
         PostedTask next = null; // taken from the queue but not run yet
         while (!stopped) {
-            Timer timer = timers.peek();
             if (next == null) {
-                double wait =
-                        timer == null ? MAX_IDLE_WAIT_MS : Math.min(MAX_IDLE_WAIT_MS, timer.dueAt() - Clock.now());
                 try {
-                    next = queue.poll((long) (Math.max(0, wait) * 1e6), TimeUnit.NANOSECONDS);
+                    next = queue.poll((long) (idleWaitMs() * 1e6), TimeUnit.NANOSECONDS);
                 } catch (InterruptedException e) {
                     return;
                 }
@@ -157,9 +185,10 @@
                 runGuarded(urgentTask);
             }
             now = Clock.now();
-            if (timer != null && timer.dueAt() <= now && (next == null || timer.dueAt() <= next.postedAt())) {
+            Timer timer = timers.isEmpty() ? null : timers.first();
+            if (timer != null && timer.dueAt <= now && (next == null || timer.dueAt <= next.postedAt())) {
                 timers.remove(timer);
-                runGuarded(timer.task());
+                runGuarded(timer.task);
             } else if (next != null) {
                 PostedTask event = next;
                 next = null;
@@ -169,6 +198,14 @@
         }
     }
 
+    /** Returns how long to wait for an event: until the next timer is due, within limits. */
+    private double idleWaitMs() {
+        if (timers.isEmpty()) {
+            return MAX_IDLE_WAIT_MS;
+        }
+        return Math.max(0, Math.min(MAX_IDLE_WAIT_MS, timers.first().dueAt - Clock.now()));
+    }
+
     private void runGuarded(Runnable task) {
         try {
             task.run();
