--- a/net/src/main/java/walnutfield/loop/EventLoop.java
+++ b/net/src/main/java/walnutfield/loop/EventLoop.java
@@ -54,8 +54,8 @@
     private final ConcurrentLinkedQueue<Runnable> urgent = new ConcurrentLinkedQueue<>();
     private final AtomicInteger queuedOffers = new AtomicInteger();
     private final TreeSet<Timer> timers = // ordered, so that a cancelled timer is removed without a search
-            new TreeSet<>(Comparator.<Timer>comparingDouble(timer -> timer.dueAt)
-                    .thenComparingLong(timer -> timer.sequence));
+            new TreeSet<>(
+                    Comparator.<Timer>comparingDouble(timer -> timer.dueAt).thenComparingLong(timer -> timer.sequence));
     private final int maxQueuedOffers;
     private final LatencyListener latencyListener;
     private final Thread thread;
