An Error on the event loop or an I/O thread ends the process instead of hanging it

Cause: EventLoop catches RuntimeException only, and nothing watched its thread.

A failing latency listener no longer ends the event loop.

--- a/app/src/main/java/walnutfield/app/InsertScheduleWatcher.java
+++ b/app/src/main/java/walnutfield/app/InsertScheduleWatcher.java
@@ -4,12 +4,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import walnutfield.net.PeriodicTask;
 import walnutfield.play.TrafficClass;
 import walnutfield.stitch.Schedule;
 
@@ -39,12 +37,7 @@
     void start() throws InvalidSettingsException {
         lastText = readFile();
         onSchedule.accept(Settings.schedule(XmlElement.parse(file.toString(), lastText, "inserts"), trafficClasses));
-        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(r -> {
-            Thread thread = new Thread(r, "inserts");
-            thread.setDaemon(true);
-            return thread;
-        });
-        timer.scheduleWithFixedDelay(this::poll, POLL_INTERVAL_MS, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        PeriodicTask.start("inserts", POLL_INTERVAL_MS, this::poll);
     }
 
     private String readFile() throws InvalidSettingsException {
--- a/app/src/main/java/walnutfield/app/Main.java
+++ b/app/src/main/java/walnutfield/app/Main.java
@@ -19,6 +19,7 @@
 import picocli.CommandLine.Parameters;
 import walnutfield.bench.Adapter;
 import walnutfield.gateway.GatewayServer;
+import walnutfield.net.FatalErrors;
 import walnutfield.platform.InvalidConfigException;
 import walnutfield.platform.Service;
 import walnutfield.platform.WarmUpRun;
@@ -108,6 +109,7 @@
         @Override
         public Integer call() throws Exception {
             LogSetup.configure(null, Level.INFO);
+            FatalErrors.endProcessOnError();
             XmlElement root = XmlElement.read(file, "gateway");
             Settings.validate(root);
             Ladder ladder = Settings.ladder(root);
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -3,9 +3,6 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -15,6 +12,7 @@
 import walnutfield.loop.EventLoop;
 import walnutfield.net.Client;
 import walnutfield.net.Clock;
+import walnutfield.net.PeriodicTask;
 import walnutfield.net.Server;
 import walnutfield.play.GatewayActions;
 import walnutfield.stitch.Schedule;
@@ -43,7 +41,7 @@
     private final HttpFront front;
     private final Server server;
     private final GatewaySettings.Front frontSettings;
-    private final ScheduledExecutorService sweeper;
+    private final PeriodicTask sweeper;
     private int port;
 
     /**
@@ -97,13 +95,7 @@
                 eventLoop, listHttpClient, listSettings, name, plays::notifyDesk, plays::onHostListChanged);
         front = new HttpFront(admission, hlsSessions, catalogue, metrics);
         server = new Server(name, frontSettings.selectorThreads(), frontSettings.limits(), front::handle);
-        sweeper = Executors.newSingleThreadScheduledExecutor(task -> {
-            Thread sweeperThread = new Thread(task, name + "-untaken");
-            sweeperThread.setDaemon(true);
-            return sweeperThread;
-        });
-        sweeper.scheduleWithFixedDelay(
-                admission::shedOverdue, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        sweeper = PeriodicTask.start(name + "-untaken", SWEEP_INTERVAL_MS, admission::shedOverdue);
         if (calls != null) {
             gatewayMetrics.registerGauge("sip.repeats", calls::retransmissions);
         }
@@ -185,7 +177,7 @@
     /** Shuts down immediately and closes all open connections. */
     @Override
     public void close() throws IOException {
-        sweeper.shutdownNow();
+        sweeper.close();
         eventLoop.stop();
         server.unbind(port);
         server.resetConnections(port);
--- a/gateway/src/main/java/walnutfield/gateway/HlsSessions.java
+++ b/gateway/src/main/java/walnutfield/gateway/HlsSessions.java
@@ -54,7 +54,7 @@
 
     void start() {
         inserts.scheduleMinuteTick();
-        eventLoop.schedule(eventLoop.now() + frontSettings.idleTimeoutMs() / 2, this::endIdleViewings);
+        eventLoop.scheduleRepeatedly(frontSettings.idleTimeoutMs() / 2, this::endIdleViewings);
     }
 
     HlsViewing newViewing(Viewing.Request request, double admittedAt) {
@@ -89,7 +89,6 @@
         playlists
                 .entrySet()
                 .removeIf(entry -> entry.getValue().lastPolledAt() < idleSince && !playingIds.contains(entry.getKey()));
-        eventLoop.schedule(eventLoop.now() + frontSettings.idleTimeoutMs() / 2, this::endIdleViewings);
     }
 
     /** Carries out what inserts need from the plays and their hosts. */
--- a/gateway/src/main/java/walnutfield/gateway/InsertExecutor.java
+++ b/gateway/src/main/java/walnutfield/gateway/InsertExecutor.java
@@ -79,12 +79,7 @@
     }
 
     void scheduleMinuteTick() {
-        eventLoop.schedule(eventLoop.now() + MINUTE_TICK_MS, this::onMinuteElapsed);
-    }
-
-    private void onMinuteElapsed() {
-        desk.accept(new Call.MinuteElapsed());
-        scheduleMinuteTick();
+        eventLoop.scheduleRepeatedly(MINUTE_TICK_MS, () -> desk.accept(new Call.MinuteElapsed()));
     }
 
     void updateSchedule(Schedule schedule) {
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -80,12 +80,7 @@
     void start(HostListClient hostListClient) {
         hostList = hostListClient;
         hostList.loadPersistedList();
-        eventLoop.schedule(eventLoop.now() + LEARNED_STATE_SAVE_INTERVAL_MS, this::saveLearnedStatePeriodically);
-    }
-
-    private void saveLearnedStatePeriodically() {
-        saveLearnedState();
-        eventLoop.schedule(eventLoop.now() + LEARNED_STATE_SAVE_INTERVAL_MS, this::saveLearnedStatePeriodically);
+        eventLoop.scheduleRepeatedly(LEARNED_STATE_SAVE_INTERVAL_MS, this::saveLearnedState);
     }
 
     /** Saves the learned state; called periodically and once more when the gateway shuts down. */
--- a/net/src/main/java/walnutfield/loop/EventLoop.java
+++ b/net/src/main/java/walnutfield/loop/EventLoop.java
@@ -120,6 +120,17 @@
         return timer;
     }
 
+    /**
+     * Runs the task at an interval from now on. A run that fails does not prevent the next one. To be called on the
+     * event loop only.
+     */
+    public void scheduleRepeatedly(double intervalMs, Runnable task) {
+        schedule(now + intervalMs, () -> {
+            scheduleRepeatedly(intervalMs, task);
+            task.run();
+        });
+    }
+
     /** Returns the number of timers that wait for their time. To be called on the event loop only. */
     public int pendingTimers() {
         return timers.size();
@@ -193,7 +204,7 @@
                 PostedTask event = next;
                 next = null;
                 runGuarded(event.task());
-                latencyListener.eventProcessed(now - event.postedAt(), Clock.now() - now);
+                runGuarded(() -> latencyListener.eventProcessed(now - event.postedAt(), Clock.now() - now));
             }
         }
     }
@@ -206,10 +217,14 @@
         return Math.max(0, Math.min(MAX_IDLE_WAIT_MS, timers.first().dueAt - Clock.now()));
     }
 
-    private void runGuarded(Runnable task) {
+    /**
+     * Runs a task. A fault in one event must not end the gateway; an {@link Error} ends the thread, and the process if
+     * {@link walnutfield.net.FatalErrors} says so, since the state behind it is unknown.
+     */
+    private static void runGuarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) { // a fault in one event must not end the gateway
+        } catch (RuntimeException e) {
             LOG.atError().setCause(e).log("an event failed");
         }
     }
--- a/net/src/main/java/walnutfield/net/Client.java
+++ b/net/src/main/java/walnutfield/net/Client.java
@@ -98,8 +98,10 @@
      */
     public Client(String name, int selectors, Settings settings) throws IOException {
         this.settings = settings;
+        ErrorReportingFilter errors = new ErrorReportingFilter();
         FilterChainBuilder chain = FilterChainBuilder.stateless();
         chain.add(new TransportFilter());
+        chain.add(errors);
         chain.add(new HttpClientFilter(settings.maxHeadBytes()));
         chain.add(new ResponseFilter());
         transport = TCPNIOTransportBuilder.newInstance()
@@ -109,6 +111,7 @@
                 .setSelectorRunnersCount(selectors)
                 .build();
         transport.setProcessor(chain.build());
+        errors.observe(transport);
         transport.start();
         connector = TCPNIOConnectorHandler.builder(transport).build();
         timers = Executors.newSingleThreadScheduledExecutor(task -> {
--- /dev/null
+++ b/net/src/main/java/walnutfield/net/PeriodicTask.java
@@ -0,0 +1,46 @@
+package walnutfield.net;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Runs a task at an interval on a thread of its own. A run that fails does not prevent the next one. */
+public final class PeriodicTask implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(PeriodicTask.class);
+
+    private final ScheduledExecutorService executor;
+
+    private PeriodicTask(ScheduledExecutorService executor) {
+        this.executor = executor;
+    }
+
+    /** Starts to run the task, the first time after the interval, on a daemon thread of this name. */
+    public static PeriodicTask start(String threadName, long intervalMs, Runnable task) {
+        ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(runnable -> {
+            Thread thread = new Thread(runnable, threadName);
+            thread.setDaemon(true);
+            return thread;
+        });
+        executor.scheduleWithFixedDelay(() -> runGuarded(task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+        return new PeriodicTask(executor);
+    }
+
+    /** The executor would drop the task at its first failure, and keep the failure to itself. */
+    private static void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.atError().setCause(e).log("a periodic task failed");
+        } catch (Error e) {
+            FatalErrors.report(e);
+            throw e;
+        }
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+}
--- a/net/src/main/java/walnutfield/net/Server.java
+++ b/net/src/main/java/walnutfield/net/Server.java
@@ -9,9 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -49,7 +46,7 @@
     private final Set<Connection<?>> openConnections = ConcurrentHashMap.newKeySet(); // removed when they close
     // Listening sockets by port; unbind removes them.
     private final Map<Integer, TCPNIOServerConnection> listeners = new ConcurrentHashMap<>();
-    private final ScheduledExecutorService sweeper;
+    private final PeriodicTask sweeper;
 
     /**
      * @param name      prefix of the names of the server's threads
@@ -58,8 +55,10 @@
     public Server(String name, int selectors, Limits limits, Consumer<Exchange> handler) {
         this.limits = limits;
         this.handler = handler;
+        ErrorReportingFilter errors = new ErrorReportingFilter();
         FilterChainBuilder chain = FilterChainBuilder.stateless();
         chain.add(new TransportFilter());
+        chain.add(errors);
         chain.add(new ConnectionFilter());
         KeepAlive keepAlive = new KeepAlive(); // the idle sweep closes idle connections, not the codec
         keepAlive.setIdleTimeoutInSeconds(-1);
@@ -85,13 +84,8 @@
                 .setServerConnectionBackLog(1024)
                 .build();
         transport.setProcessor(chain.build());
-        sweeper = Executors.newSingleThreadScheduledExecutor(task -> {
-            Thread thread = new Thread(task, name + "-sweep");
-            thread.setDaemon(true);
-            return thread;
-        });
-        sweeper.scheduleWithFixedDelay(
-                this::closeTimedOut, IDLE_SWEEP_INTERVAL_MS, IDLE_SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        errors.observe(transport);
+        sweeper = PeriodicTask.start(name + "-sweep", IDLE_SWEEP_INTERVAL_MS, this::closeTimedOut);
     }
 
     public void start() throws IOException {
@@ -141,7 +135,7 @@
 
     @Override
     public void close() throws IOException {
-        sweeper.shutdownNow();
+        sweeper.close();
         transport.shutdownNow();
     }
 
--- a/net/src/main/java/walnutfield/net/sip/SipTransport.java
+++ b/net/src/main/java/walnutfield/net/sip/SipTransport.java
@@ -27,6 +27,7 @@
 import org.glassfish.grizzly.nio.transport.UDPNIOTransport;
 import org.glassfish.grizzly.nio.transport.UDPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import walnutfield.net.ErrorReportingFilter;
 import walnutfield.sip.Flow;
 import walnutfield.sip.Framer;
 import walnutfield.sip.MalformedMessageException;
@@ -64,8 +65,10 @@
     public SipTransport(String name, int maxConnections, Receiver receiver) throws IOException {
         this.receiver = receiver;
         this.maxConnections = maxConnections;
+        ErrorReportingFilter errors = new ErrorReportingFilter();
         FilterChainBuilder udpChain = FilterChainBuilder.stateless();
         udpChain.add(new TransportFilter());
+        udpChain.add(errors);
         udpChain.add(new UdpFilter());
         udp = UDPNIOTransportBuilder.newInstance()
                 .setName(name + "-udp")
@@ -74,8 +77,10 @@
                 .setReadBufferSize(MAX_MESSAGE_BYTES)
                 .build();
         udp.setProcessor(udpChain.build());
+        errors.observe(udp);
         FilterChainBuilder tcpChain = FilterChainBuilder.stateless();
         tcpChain.add(new TransportFilter());
+        tcpChain.add(errors);
         tcpChain.add(new TcpFilter());
         tcp = TCPNIOTransportBuilder.newInstance()
                 .setName(name + "-tcp")
@@ -85,6 +90,7 @@
                 .setTcpNoDelay(true)
                 .build();
         tcp.setProcessor(tcpChain.build());
+        errors.observe(tcp);
         tcp.getAsyncQueueIO().getWriter().setMaxPendingBytesPerConnection(MAX_PENDING_BYTES);
         udp.start();
         tcp.start();
--- a/net/src/main/java/walnutfield/net/stream/TcpTransport.java
+++ b/net/src/main/java/walnutfield/net/stream/TcpTransport.java
@@ -22,6 +22,7 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import walnutfield.net.ErrorReportingFilter;
 
 /**
  * Accepts and opens TCP connections on a single I/O thread, as a chain of Grizzly filters with one task each (reading
@@ -56,8 +57,10 @@
 
     /** @param maxPendingBytes bytes that a peer may leave unread before its connection is terminated */
     public TcpTransport(String name, int maxPendingBytes) throws IOException {
+        ErrorReportingFilter errors = new ErrorReportingFilter();
         FilterChainBuilder chain = FilterChainBuilder.stateless();
         chain.add(new TransportFilter());
+        chain.add(errors);
         chain.add(new LifecycleFilter());
         chain.add(new ReadFilter());
         transport = TCPNIOTransportBuilder.newInstance()
@@ -71,6 +74,7 @@
                 .setServerConnectionBackLog(ACCEPT_BACKLOG)
                 .build();
         transport.setProcessor(chain.build());
+        errors.observe(transport);
         transport.getAsyncQueueIO().getWriter().setMaxPendingBytesPerConnection(maxPendingBytes);
         connector = TCPNIOConnectorHandler.builder(transport).build();
         transport.start();
