--- a/net/src/main/java/walnutfield/net/stream/TcpStream.java
+++ b/net/src/main/java/walnutfield/net/stream/TcpStream.java
@@ -4,6 +4,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntPredicate;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
@@ -15,10 +16,13 @@
     private final Connection<?> connection;
     private final MemoryManager<?> memory;
     private final List<byte[]> undelivered = new ArrayList<>(); // received before a handler was attached
+    private final IntPredicate pendingAllowed;
     private TcpTransport.Handler handler;
     private boolean closed;
 
-    TcpStream(Connection<?> connection, MemoryManager<?> memory) {
+    /** @param pendingAllowed whether this many bytes may wait to be read by the peer */
+    TcpStream(Connection<?> connection, MemoryManager<?> memory, IntPredicate pendingAllowed) {
+        this.pendingAllowed = pendingAllowed;
         this.connection = connection;
         this.memory = memory;
     }
@@ -63,7 +67,7 @@
         if (!connection.isOpen()) {
             return false;
         }
-        if (!connection.canWrite()) {
+        if (!connection.canWrite() || !pendingAllowed.test(pendingBytes())) {
             // Bounds the memory that a peer which does not read can occupy. A regular close would wait until the peer
             // has read everything pending, so the connection is terminated. A peer that is merely slow is disconnected
             // as well.
@@ -74,6 +78,11 @@
         return connection.isOpen();
     }
 
+    /** Returns the bytes written to the stream that wait for the peer to read. */
+    int pendingBytes() {
+        return ((NIOConnection) connection).getAsyncWriteQueue().spaceInBytes();
+    }
+
     /** Closes the sending direction. What the peer still sends is read until the peer closes the connection. */
     public void shutdownOutput() {
         try {
--- a/net/src/main/java/walnutfield/net/stream/TcpTransport.java
+++ b/net/src/main/java/walnutfield/net/stream/TcpTransport.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -32,6 +34,7 @@
 public final class TcpTransport implements AutoCloseable {
     private static final int READ_BUFFER_BYTES = 16_384;
     private static final int ACCEPT_BACKLOG = 1024;
+    private static final int FAIR_PENDING_BYTES = 16_384; // what any peer may leave unread
     private static final Attribute<TcpStream> STREAM_ATTRIBUTE =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("walnutfield.net.stream");
 
@@ -54,9 +57,18 @@
     private volatile Acceptor acceptor = s -> null;
     private volatile TCPNIOServerConnection serverConnection;
     private final AtomicInteger openStreams = new AtomicInteger();
+    private final Set<TcpStream> registeredStreams = ConcurrentHashMap.newKeySet(); // removed as they close
+    private final long maxTotalPendingBytes;
 
-    /** @param maxPendingBytes bytes that a peer may leave unread before its connection is terminated */
-    public TcpTransport(String name, int maxPendingBytes) throws IOException {
+    /**
+     * Creates a transport.
+     *
+     * @param maxPendingBytes      bytes that a peer may leave unread before its connection is terminated
+     * @param maxTotalPendingBytes bytes that all peers together may leave unread; beyond it the connection of a peer
+     *                             that has left {@link #FAIR_PENDING_BYTES} unread is terminated as well
+     */
+    public TcpTransport(String name, int maxPendingBytes, long maxTotalPendingBytes) throws IOException {
+        this.maxTotalPendingBytes = maxTotalPendingBytes;
         ErrorReportingFilter errors = new ErrorReportingFilter();
         FilterChainBuilder chain = FilterChainBuilder.stateless();
         chain.add(new TransportFilter());
@@ -149,19 +161,31 @@
         synchronized (connection) {
             TcpStream stream = STREAM_ATTRIBUTE.get(connection);
             if (stream == null) {
-                stream = new TcpStream(connection, transport.getMemoryManager());
+                stream = new TcpStream(connection, transport.getMemoryManager(), this::allowsPending);
                 STREAM_ATTRIBUTE.set(connection, stream);
+                registeredStreams.add(stream);
             }
             return stream;
         }
     }
 
+    /** Returns whether a stream may keep this many bytes that its peer has not read yet. */
+    private boolean allowsPending(int streamPendingBytes) {
+        return streamPendingBytes <= FAIR_PENDING_BYTES || pendingBytes() <= maxTotalPendingBytes;
+    }
+
+    /** Returns the bytes written to open streams that wait for their peers to read. */
+    public long pendingBytes() {
+        return registeredStreams.stream().mapToLong(TcpStream::pendingBytes).sum();
+    }
+
     /**
      * Covers a stream that was closed, by another thread or by the peer, before it was registered here: without this
      * its handler would never be notified of the close.
      */
-    private static void notifyIfClosed(Connection<?> connection, TcpStream stream) {
+    private void notifyIfClosed(Connection<?> connection, TcpStream stream) {
         if (!connection.isOpen()) {
+            registeredStreams.remove(stream);
             stream.markClosed();
         }
     }
@@ -181,6 +205,7 @@
             Handler handler = acceptor.opened(stream);
             if (handler == null) {
                 connection.closeSilently();
+                registeredStreams.remove(stream);
                 return ctx.getStopAction();
             }
             stream.attach(handler);
@@ -199,6 +224,7 @@
             openStreams.decrementAndGet();
             TcpStream stream = STREAM_ATTRIBUTE.get(ctx.getConnection());
             if (stream != null) {
+                registeredStreams.remove(stream);
                 stream.markClosed();
             }
             return ctx.getInvokeAction();
--- a/net/src/test/java/walnutfield/net/FatalErrorsTest.java
+++ b/net/src/test/java/walnutfield/net/FatalErrorsTest.java
@@ -89,7 +89,7 @@
     /** Guards against I/O that stops for good, or goes on in an unknown state, after an error. */
     @Test
     void anErrorOfAByteStreamsHandlerIsReported() throws Exception {
-        try (TcpTransport transport = new TcpTransport("test", 1 << 16)) {
+        try (TcpTransport transport = new TcpTransport("test", 1 << 16, 1 << 20)) {
             InetSocketAddress address =
                     transport.bind(new InetSocketAddress("127.0.0.1", 0), stream -> new TcpTransport.Handler() {
                         @Override
--- a/net/src/test/java/walnutfield/net/stream/TcpTransportTest.java
+++ b/net/src/test/java/walnutfield/net/stream/TcpTransportTest.java
@@ -3,11 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -36,7 +40,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        streams = new TcpTransport("test", 1 << 16);
+        streams = new TcpTransport("test", 1 << 16, 1 << 20);
     }
 
     @AfterEach
@@ -163,4 +167,40 @@
             assertEquals(0, streams.openStreams());
         }
     }
+
+    /** Guards against peers that each leave a little unread, which together would fill the heap. */
+    @Test
+    void peersThatDoNotReadShareOneLimit() throws Exception {
+        int limit = 256 << 10;
+        int peerCount = 16;
+        byte[] message = new byte[16_384];
+        List<TcpStream> opened = new CopyOnWriteArrayList<>();
+        List<Socket> peers = new ArrayList<>();
+        try (TcpTransport transport = new TcpTransport("shared", 1 << 20, limit)) {
+            InetSocketAddress address = transport.bind(new InetSocketAddress("127.0.0.1", 0), stream -> {
+                opened.add(stream);
+                return recordingHandler();
+            });
+            for (int i = 0; i < peerCount; i++) {
+                peers.add(new Socket(address.getAddress(), address.getPort()));
+            }
+            while (opened.size() < peerCount) {
+                Thread.onSpinWait();
+            }
+            long mostPending = 0;
+            for (int i = 0; i < 1_000; i++) { // 16 MB for each, more than the kernel keeps
+                opened.forEach(stream -> stream.send(message));
+                mostPending = Math.max(mostPending, transport.pendingBytes());
+            }
+            assertTrue(mostPending > message.length, "the kernel has kept it all");
+            assertTrue(mostPending <= limit + peerCount * 2L * message.length, mostPending + " bytes were kept");
+            for (int i = 0; i < peerCount; i++) {
+                assertEquals("closed", nextEvent());
+            }
+        } finally {
+            for (Socket peer : peers) {
+                peer.close();
+            }
+        }
+    }
 }
