Plays, calls, transactions and requests that ended leave no timers in gateway, sip and net

In the HLS and SIP gateway: a viewing until the deadline of its class, its leg's timeout, the silence check and the place of an insert that may be an hour away; a caller until its session timer is due, half an hour; a SIP transaction until 64 T1, 32 s; an HTTP request until its connect timeout.

Change: TimerGroup cancels an owner's timers together (Viewing.end, SipFront.removeCaller); a leg's timeout is cancelled with its result; TransactionTimers as a transaction terminates (Timers.Scheduler returns a Cancellation); net.Client cancels a connect timeout once the request has a connection or is over, and its closing of expired connections goes on after a run that fails.

Not covered by a test: session timers of calls, timers of inserts.

--- a/gateway/src/main/java/walnutfield/gateway/CallViewing.java
+++ b/gateway/src/main/java/walnutfield/gateway/CallViewing.java
@@ -33,7 +33,7 @@
     private boolean monitoring;
 
     CallViewing(SipFront calls, Request asked, Sdp offer, int maxForwards, double admittedAt) {
-        super(asked, admittedAt);
+        super(asked, admittedAt, calls.eventLoop);
         this.maxForwards = maxForwards;
         this.calls = calls;
         this.offer = offer;
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -127,6 +127,11 @@
         hostClient.probe(host, reply -> listener.accept(reply.toLegResult(() -> true)));
     }
 
+    /** Returns the number of timers that wait for their time, or -1 if the event loop does not answer. */
+    int pendingTimers() {
+        return eventLoop.evaluate(eventLoop::pendingTimers, DESK_QUERY_TIMEOUT_MS);
+    }
+
     /** Returns the port of the SIP front; 0 if there is none. */
     public int sipPort() {
         return calls == null ? 0 : calls.port();
--- a/gateway/src/main/java/walnutfield/gateway/HlsViewing.java
+++ b/gateway/src/main/java/walnutfield/gateway/HlsViewing.java
@@ -29,7 +29,7 @@
     private boolean programmeGrowing; // the programme was still growing when served, and its end is not reported yet
 
     HlsViewing(HlsSessions hls, Request request, String id, double admittedAt, double lookaheadS) {
-        super(request, admittedAt);
+        super(request, admittedAt, hls.eventLoop);
         this.hls = hls;
         this.id = id;
         playlist = new SessionPlaylist(id, admittedAt, lookaheadS);
@@ -40,7 +40,7 @@
 
     /** Creates an insert of a viewing. */
     HlsViewing(HlsViewing parent, Insert insert, int slot, Request request, double admittedAt) {
-        super(request, admittedAt);
+        super(request, admittedAt, parent.hls.eventLoop);
         hls = parent.hls;
         id = parent.id;
         playlist = null;
@@ -143,8 +143,7 @@
                 hls.eventLoop.post(() -> hls.plays().onConnectionLost(HlsViewing.this, currentPlay));
             }
         });
-        hls.eventLoop.schedule(
-                hls.eventLoop.now() + hls.hostSettings.silenceTimeoutMs(), () -> checkHostSilence(currentPlay));
+        timers.schedule(hls.eventLoop.now() + hls.hostSettings.silenceTimeoutMs(), () -> checkHostSilence(currentPlay));
     }
 
     @Override
@@ -218,7 +217,7 @@
     @Override
     boolean onRefused() {
         if (isGatewayInitiated()) {
-            phase = Phase.ENDED;
+            end();
             // posted, to run after the desk's current call
             hls.eventLoop.post(() -> hls.inserts.rejectInsert(this, Stitcher.SkipReason.NO_HOST));
         }
@@ -233,7 +232,7 @@
     @Override
     void onInterrupted() {
         if (isGatewayInitiated()) {
-            phase = Phase.ENDED;
+            end();
         } else {
             playlist.suspendProgramme();
         }
@@ -256,7 +255,7 @@
     @Override
     void onHostEnded(boolean complete) {
         if (isGatewayInitiated()) {
-            phase = Phase.ENDED;
+            end();
             hls.inserts.onInsertEnded(this, complete);
             return;
         }
@@ -282,7 +281,7 @@
         if (hls.eventLoop.now() - lastActivityAt >= hls.hostSettings.silenceTimeoutMs()) {
             hls.plays().onConnectionLost(this, monitoredPlay);
         } else {
-            hls.eventLoop.schedule(
+            timers.schedule(
                     lastActivityAt + hls.hostSettings.silenceTimeoutMs(), () -> checkHostSilence(monitoredPlay));
         }
     }
@@ -311,7 +310,7 @@
             onProgrammeEnd();
             return;
         }
-        hls.eventLoop.schedule(hls.eventLoop.now() + delayMs, () -> {
+        timers.schedule(hls.eventLoop.now() + delayMs, () -> {
             if (hls.plays().isPlaying(this, monitoredPlay)) {
                 int requestedRung = confirmedRung;
                 hls.hostClient.reloadPlaylist(
--- a/gateway/src/main/java/walnutfield/gateway/InsertExecutor.java
+++ b/gateway/src/main/java/walnutfield/gateway/InsertExecutor.java
@@ -120,7 +120,7 @@
             if (viewing.inserts.openLeadingSlots.contains(slot)) {
                 reportDue(viewing, slot);
                 int leadingSlot = slot;
-                eventLoop.schedule(
+                viewing.timers.schedule(
                         viewing.admittedAt + viewing.request.trafficClass().latencyTargetMs(),
                         () -> onStartDeadline(viewing, leadingSlot));
             } else {
@@ -139,7 +139,7 @@
         if (eventLoop.now() >= dueAt) {
             reportDue(viewing, slot);
         } else {
-            eventLoop.schedule(
+            viewing.timers.schedule(
                     Math.max(dueAt, eventLoop.now() + POINT_CHECK_INTERVAL_MS), () -> checkInsertPoint(viewing, slot));
         }
     }
@@ -182,7 +182,7 @@
     public void retryInsert(PlayId viewing, int slot, double time) {
         HlsViewing target = viewingsByFirstPlay.get(viewing);
         if (target != null) {
-            eventLoop.schedule(time, () -> reportDue(target, slot));
+            target.timers.schedule(time, () -> reportDue(target, slot));
         }
     }
 
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -157,7 +157,7 @@
         }
         openViewings.put(key, viewing);
         Viewing admitted = viewing;
-        eventLoop.schedule(receivedAt + viewing.request.trafficClass().deadlineMs(), () -> onDeadline(admitted));
+        viewing.timers.schedule(receivedAt + viewing.request.trafficClass().deadlineMs(), () -> onDeadline(admitted));
         assignNewPlay(viewing);
         addRequester(requester, viewing);
         notifyDesk(new Call.PlayRequested(playRequest(viewing, false, remainingMs)));
@@ -254,7 +254,7 @@
             return;
         }
         boolean played = viewing.isMonitoring();
-        viewing.phase = Phase.ENDED;
+        viewing.end();
         if (played) {
             viewing.stopMonitoring(true);
             reportCancelledLeg(viewing, play);
@@ -268,6 +268,7 @@
         notifyDesk(new Call.ViewerLeft(play));
         if (viewing.legPending) {
             viewing.legPending = false;
+            viewing.cancelLegTimeout();
             if (viewing.leg != null) {
                 viewing.leg.cancel();
             }
@@ -305,7 +306,7 @@
 
     /** Closes a viewing and writes its line to the access log. */
     private void closeViewing(Viewing viewing, String reason) {
-        viewing.phase = Phase.ENDED;
+        viewing.end();
         // requesters may still wait for a leading insert when the play is lost
         answerAll(viewing, requester -> requester.refuse(502, viewing.sessionId, 0));
         viewing.onClosed();
@@ -345,7 +346,7 @@
             return;
         }
         viewing.leg = viewing.sendLeg(leg, result -> eventLoop.post(() -> onLegResult(viewing, play, leg, result)));
-        eventLoop.schedule(eventLoop.now() + timeoutMs, () -> {
+        viewing.legTimeout = eventLoop.schedule(eventLoop.now() + timeoutMs, () -> {
             if (isLegPending(viewing, play, leg)) {
                 viewing.leg.cancel();
                 onLegResult(
@@ -366,6 +367,7 @@
             return; // its result arrived after the leg's timeout or the viewer's departure
         }
         viewing.legPending = false;
+        viewing.cancelLegTimeout();
         double elapsedMs = eventLoop.now() - viewing.legSentAt;
         if (result.outcome() != Outcome.SERVED) {
             LOG.atDebug()
--- a/gateway/src/main/java/walnutfield/gateway/SipFront.java
+++ b/gateway/src/main/java/walnutfield/gateway/SipFront.java
@@ -14,6 +14,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import walnutfield.loop.EventLoop;
+import walnutfield.loop.TimerGroup;
 import walnutfield.net.Clock;
 import walnutfield.net.sip.SipTransport;
 import walnutfield.orca.LoadField;
@@ -62,6 +63,7 @@
         private boolean reInviteNeeded; // the session changed while a re-INVITE was pending
         private double expiresAt = Double.POSITIVE_INFINITY;
         private boolean ended;
+        private final TimerGroup timers = new TimerGroup(eventLoop); // cancelled as the caller leaves
 
         Caller(CallViewing viewing, Dialog dialog, String dialogName, ServerTransaction unacknowledgedInvite) {
             this.viewing = viewing;
@@ -125,8 +127,8 @@
                     }
 
                     @Override
-                    public void schedule(double time, Runnable task) {
-                        eventLoop.schedule(time, task);
+                    public Timers.Cancellation schedule(double time, Runnable task) {
+                        return eventLoop.schedule(time, task)::cancel;
                     }
                 }),
                 this);
@@ -465,6 +467,7 @@
 
     private void removeCaller(Caller caller) {
         caller.ended = true;
+        caller.timers.cancel();
         callersByDialog.remove(caller.dialogName);
         if (caller.unacknowledgedInvite != null) {
             caller.unacknowledgedInvite = null;
@@ -492,7 +495,7 @@
         double intervalMs = Math.min(settings.sessionTimeoutMs(), intervalS * 1000);
         caller.expiresAt = eventLoop.now() + intervalMs;
         if (isFirst) {
-            eventLoop.schedule(
+            caller.timers.schedule(
                     callerRefreshes ? caller.expiresAt : eventLoop.now() + intervalMs / 2,
                     () -> onSessionTimer(caller, callerRefreshes, intervalMs));
         }
@@ -504,9 +507,9 @@
         }
         if (!callerRefreshes) { // the response to the re-INVITE proves the caller alive; without one the call ends
             sendReInvite(caller);
-            eventLoop.schedule(eventLoop.now() + intervalMs / 2, () -> onSessionTimer(caller, false, intervalMs));
+            caller.timers.schedule(eventLoop.now() + intervalMs / 2, () -> onSessionTimer(caller, false, intervalMs));
         } else if (eventLoop.now() < caller.expiresAt) {
-            eventLoop.schedule(caller.expiresAt, () -> onSessionTimer(caller, true, intervalMs));
+            caller.timers.schedule(caller.expiresAt, () -> onSessionTimer(caller, true, intervalMs));
         } else {
             hangUp(caller, "SIP;cause=408");
             caller.viewing.onCallerLeft(caller, "viewer-idle");
@@ -608,11 +611,12 @@
                 if (status == 481 || status == 408) { // the dialog is gone (RFC 3261, section 12.2.1.2)
                     onCallerLeft(caller, "viewer-gone");
                 } else if (status == 491) {
-                    eventLoop.schedule(eventLoop.now() + random.nextInt((int) (MAX_GLARE_DELAY_MS / 10)) * 10, () -> {
-                        if (!caller.ended) {
-                            sendReInvite(caller);
-                        }
-                    });
+                    caller.timers.schedule(
+                            eventLoop.now() + random.nextInt((int) (MAX_GLARE_DELAY_MS / 10)) * 10, () -> {
+                                if (!caller.ended) {
+                                    sendReInvite(caller);
+                                }
+                            });
                 } else if (caller.reInviteNeeded) {
                     sendReInvite(caller);
                 }
--- a/gateway/src/main/java/walnutfield/gateway/Viewing.java
+++ b/gateway/src/main/java/walnutfield/gateway/Viewing.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import walnutfield.loop.EventLoop;
+import walnutfield.loop.TimerGroup;
 import walnutfield.play.HostId;
 import walnutfield.play.LoadReport;
 import walnutfield.play.Outcome;
@@ -79,10 +81,27 @@
     Leg leg;
     int recoveries;
     boolean answered; // its viewers were told that the play has started
+    EventLoop.Timer legTimeout; // null while no leg is pending
+    final TimerGroup timers; // cancelled as it ends
 
-    Viewing(Request request, double admittedAt) {
+    Viewing(Request request, double admittedAt, EventLoop eventLoop) {
         this.request = request;
         this.admittedAt = admittedAt;
+        timers = new TimerGroup(eventLoop);
+    }
+
+    /** Marks it as ended and cancels its timers, which would keep it in memory until they are due. */
+    final void end() {
+        phase = Phase.ENDED;
+        timers.cancel();
+        cancelLegTimeout();
+    }
+
+    final void cancelLegTimeout() {
+        if (legTimeout != null) {
+            legTimeout.cancel();
+            legTimeout = null;
+        }
     }
 
     /** Returns the key that repeated requests join it by; not used for plays that the gateway itself requested. */
--- a/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
+++ b/gateway/src/test/java/walnutfield/gateway/GatewayTest.java
@@ -158,6 +158,18 @@
         }
     }
 
+    /** Guards against plays that stay in memory, once they have ended, until the timers of their deadline and leg fire. */
+    @Test
+    void endedPlaysLeaveNoTimers() throws Exception {
+        try (GatewayHarness harness = GatewayHarness.started(1)) {
+            int before = harness.gateway.pendingTimers();
+            CompletableFuture<HttpResponse<String>> asked = harness.requestPlay("paid", 1);
+            harness.nextRequest("POST /S").exchange().respond(500, Headers.NONE, new byte[0]);
+            assertEquals(502, GatewayHarness.await(asked).statusCode());
+            assertTrue(harness.gateway.pendingTimers() <= before, "the deadline of the class is 4 s away");
+        }
+    }
+
     @Test
     void aRetryWhileTheFirstTryIsOpenJoinsIt() throws Exception {
         try (GatewayHarness harness = GatewayHarness.started(2)) {
--- a/net/src/main/java/walnutfield/net/Client.java
+++ b/net/src/main/java/walnutfield/net/Client.java
@@ -6,8 +6,8 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -89,7 +89,7 @@
     private final Settings settings;
     // Idle connections by address; closeExpired removes those that are closed or too old.
     private final Map<InetSocketAddress, ArrayDeque<IdleConnection>> pools = new HashMap<>();
-    private final ScheduledExecutorService timers;
+    private final ScheduledThreadPoolExecutor timers;
     private boolean closed;
 
     /**
@@ -114,13 +114,14 @@
         errors.observe(transport);
         transport.start();
         connector = TCPNIOConnectorHandler.builder(transport).build();
-        timers = Executors.newSingleThreadScheduledExecutor(task -> {
+        timers = new ScheduledThreadPoolExecutor(1, task -> {
             Thread thread = new Thread(task, name + "-timers");
             thread.setDaemon(true);
             return thread;
         });
         long idle = Math.max(1, (long) settings.idleTimeoutMs());
-        timers.scheduleWithFixedDelay(this::closeExpired, idle, idle, TimeUnit.MILLISECONDS);
+        timers.setRemoveOnCancelPolicy(true); // otherwise each request would be kept until its connect timeout
+        timers.scheduleWithFixedDelay(PeriodicTask.guarded(this::closeExpired), idle, idle, TimeUnit.MILLISECONDS);
     }
 
     /** Sends a request over a pooled connection or a new one; {@code handler} receives the response. */
@@ -137,10 +138,10 @@
 
     private void connect(InetSocketAddress address, PendingRequest sent) {
         try {
-            timers.schedule(
+            sent.setConnectTimeout(timers.schedule(
                     () -> sent.fail(Failure.UNREACHABLE, false),
                     (long) Math.max(1, settings.connectTimeoutMs()),
-                    TimeUnit.MILLISECONDS);
+                    TimeUnit.MILLISECONDS));
             connector.connect(address, null, new EmptyCompletionHandler<>() {
                 @Override
                 @SuppressWarnings("rawtypes") // the type that TCPNIOConnectorHandler declares
@@ -174,6 +175,11 @@
         }
     }
 
+    /** Returns the number of connect timeouts that are running. */
+    int pendingConnectTimeouts() {
+        return timers.getQueue().size() - 1; // without the task that closes expired connections
+    }
+
     private void returnToPool(InetSocketAddress address, Connection<?> connection) {
         synchronized (pools) {
             ArrayDeque<IdleConnection> pool = pools.computeIfAbsent(address, k -> new ArrayDeque<>());
@@ -220,6 +226,7 @@
         private boolean over; // cancelled, failed or complete: the handler is called no more
         private boolean headReceived;
         private long bodyBytesReceived;
+        private Future<?> connectTimeout; // null where an open connection was used
 
         private PendingRequest(InetSocketAddress address, Request request, ResponseHandler handler) {
             this.address = address;
@@ -233,6 +240,7 @@
             synchronized (this) {
                 over = true;
                 used = connection;
+                cancelConnectTimeout();
             }
             if (used != null) {
                 used.closeSilently();
@@ -245,9 +253,23 @@
                 return false;
             }
             over = true;
+            cancelConnectTimeout();
             return true;
         }
 
+        private synchronized void setConnectTimeout(Future<?> timeout) {
+            connectTimeout = timeout;
+            if (over) {
+                cancelConnectTimeout();
+            }
+        }
+
+        private void cancelConnectTimeout() {
+            if (connectTimeout != null) {
+                connectTimeout.cancel(false);
+            }
+        }
+
         /** Whether the request was given a connection to its server. */
         public synchronized boolean isSent() {
             return connection != null;
@@ -260,6 +282,7 @@
                     return;
                 }
                 connection = available;
+                cancelConnectTimeout();
             }
             CURRENT.set(available, this);
             HttpRequestPacket.Builder builder = HttpRequestPacket.builder()
@@ -306,6 +329,7 @@
                     return;
                 }
                 over = true;
+                cancelConnectTimeout();
             }
             handler.onFailure(failure);
         }
--- a/net/src/main/java/walnutfield/net/PeriodicTask.java
+++ b/net/src/main/java/walnutfield/net/PeriodicTask.java
@@ -23,20 +23,25 @@
             thread.setDaemon(true);
             return thread;
         });
-        executor.scheduleWithFixedDelay(() -> runGuarded(task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(guarded(task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
         return new PeriodicTask(executor);
     }
 
-    /** The executor would drop the task at its first failure, and keep the failure to itself. */
-    private static void runGuarded(Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException e) {
-            LOG.atError().setCause(e).log("a periodic task failed");
-        } catch (Error e) {
-            FatalErrors.report(e);
-            throw e;
-        }
+    /**
+     * Returns the task with its failures logged and errors reported: an executor drops a periodic task at its first
+     * failure, and keeps the failure to itself.
+     */
+    static Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.atError().setCause(e).log("a periodic task failed");
+            } catch (Error e) {
+                FatalErrors.report(e);
+                throw e;
+            }
+        };
     }
 
     @Override
--- a/net/src/test/java/walnutfield/net/HttpTest.java
+++ b/net/src/test/java/walnutfield/net/HttpTest.java
@@ -102,6 +102,17 @@
         return event;
     }
 
+    /** Guards against requests that stay in memory, once answered, until their connect timeout fires. */
+    @Test
+    void anAnsweredRequestLeavesNoConnectTimeout() throws Exception {
+        startServer(exchange -> exchange.respond(200, Headers.NONE, new byte[0]));
+        sendGet("/");
+        while (!events.poll(5, TimeUnit.SECONDS).startsWith("done")) {
+            continue;
+        }
+        assertEquals(0, client.pendingConnectTimeouts());
+    }
+
     @Test
     void sequentialRequestsShareOneConnection() throws Exception {
         startServer(exchange -> exchange.respond(
--- a/sip/src/main/java/walnutfield/sip/ClientTransaction.java
+++ b/sip/src/main/java/walnutfield/sip/ClientTransaction.java
@@ -48,6 +48,7 @@
     private final Flow flow;
     private final User user;
     private final Timers timers;
+    private final TransactionTimers running;
     private final Transactions.RetransmissionCounter retransmissions;
     private final Runnable onTerminated;
     private State state = State.CALLING;
@@ -65,6 +66,7 @@
         this.flow = flow;
         this.user = user;
         this.timers = timers;
+        running = new TransactionTimers(timers);
         this.retransmissions = retransmissions;
         this.onTerminated = onTerminated;
     }
@@ -87,7 +89,7 @@
         if (!flow.isReliable()) {
             scheduleRetransmission(timers.t1()); // timer A or E
         }
-        timers.after(
+        running.after(
                 timers.timeout64T1(),
                 () -> { // timer B or F
                     if (state == State.CALLING || state == State.PROCEEDING && !isInvite()) {
@@ -97,7 +99,7 @@
     }
 
     private void scheduleRetransmission(double delayMs) {
-        timers.after(delayMs, () -> {
+        running.after(delayMs, () -> {
             if (cancelPending) {
                 return; // a retransmission could reach its host after the play was sent to another host
             }
@@ -127,6 +129,7 @@
 
     private void terminate() {
         state = State.TERMINATED;
+        running.cancel();
         onTerminated.run();
     }
 
@@ -165,7 +168,7 @@
             boolean first = state == State.CALLING || state == State.PROCEEDING;
             if (first) {
                 state = State.ACCEPTED;
-                timers.after(timers.timeout64T1(), this::terminate); // timer M
+                running.after(timers.timeout64T1(), this::terminate); // timer M
                 user.onFinalResponse(response);
             } else if (state == State.ACCEPTED) {
                 user.onFurther2xx(response);
@@ -192,7 +195,7 @@
         if (flow.isReliable()) {
             terminate();
         } else {
-            timers.after(delayMs, this::terminate);
+            running.after(delayMs, this::terminate);
         }
     }
 }
--- a/sip/src/main/java/walnutfield/sip/ServerTransaction.java
+++ b/sip/src/main/java/walnutfield/sip/ServerTransaction.java
@@ -16,6 +16,7 @@
     private final SIPRequest request;
     private final Flow flow;
     private final Timers timers;
+    private final TransactionTimers running;
     private final Transactions.RetransmissionCounter retransmissions;
     private final Runnable onTerminated;
     private State state = State.PROCEEDING;
@@ -34,6 +35,7 @@
         this.request = request;
         this.flow = flow;
         this.timers = timers;
+        running = new TransactionTimers(timers);
         this.retransmissions = retransmissions;
         this.onTerminated = onTerminated;
     }
@@ -83,7 +85,7 @@
         } else if (code < 300) {
             state = State.ACCEPTED;
             scheduleRetransmission(timers.t1());
-            timers.after(
+            running.after(
                     timers.timeout64T1(),
                     () -> { // timer L, and the wait for the ACK of a 2xx (section 13.3.1.4)
                         boolean noAck = !acked;
@@ -97,7 +99,7 @@
             if (!flow.isReliable()) {
                 scheduleRetransmission(timers.t1()); // timer G
             }
-            timers.after(
+            running.after(
                     timers.timeout64T1(),
                     () -> { // timer H
                         if (state == State.COMPLETED) {
@@ -115,7 +117,7 @@
 
     /** Retransmits the final response; over any transport if it is a 2xx, as that is end to end (section 13.3.1.4). */
     private void scheduleRetransmission(double delayMs) {
-        timers.after(delayMs, () -> {
+        running.after(delayMs, () -> {
             if (state == State.COMPLETED || state == State.ACCEPTED && !acked) {
                 retransmissions.increment();
                 flow.send(lastResponse);
@@ -150,13 +152,14 @@
         if (flow.isReliable()) {
             terminate();
         } else {
-            timers.after(delayMs, this::terminate);
+            running.after(delayMs, this::terminate);
         }
     }
 
     private void terminate() {
         if (state != State.TERMINATED) {
             state = State.TERMINATED;
+            running.cancel();
             onTerminated.run();
         }
     }
--- a/sip/src/main/java/walnutfield/sip/Timers.java
+++ b/sip/src/main/java/walnutfield/sip/Timers.java
@@ -14,8 +14,13 @@
         /** The current time in ms. */
         double now();
 
-        /** Runs a task at a time of this clock. */
-        void schedule(double time, Runnable task);
+        /** Runs a task at a time of this clock unless it is cancelled before. */
+        Cancellation schedule(double time, Runnable task);
+    }
+
+    /** Cancels a scheduled task, which is not kept in memory after that. */
+    public interface Cancellation {
+        void cancel();
     }
 
     /** Timers with T2 = 8 T1 and T4 = 10 T1, the ratios of the default values. */
@@ -29,7 +34,7 @@
     }
 
     /** Runs a task after a time. */
-    void after(double delayMs, Runnable task) {
-        scheduler.schedule(scheduler.now() + delayMs, task);
+    Cancellation after(double delayMs, Runnable task) {
+        return scheduler.schedule(scheduler.now() + delayMs, task);
     }
 }
--- a/sip/src/test/java/walnutfield/sip/SimulatedElement.java
+++ b/sip/src/test/java/walnutfield/sip/SimulatedElement.java
@@ -36,8 +36,15 @@
     }
 
     @Override
-    public void schedule(double time, Runnable task) {
-        scheduled.add(new ScheduledTask(time, order++, task));
+    public Timers.Cancellation schedule(double time, Runnable task) {
+        ScheduledTask scheduledTask = new ScheduledTask(time, order++, task);
+        scheduled.add(scheduledTask);
+        return () -> scheduled.remove(scheduledTask);
+    }
+
+    /** Returns the number of tasks that are yet to run. */
+    int scheduledTasks() {
+        return scheduled.size();
     }
 
     /** Advances the clock and runs the tasks that fall due. */
--- a/sip/src/test/java/walnutfield/sip/TransactionsTest.java
+++ b/sip/src/test/java/walnutfield/sip/TransactionsTest.java
@@ -90,6 +90,24 @@
         assertEquals(0, element.transactions.openCount());
     }
 
+    /** Guards against transactions that stay in memory, once terminated, until timers of 64 T1 fire. */
+    @Test
+    void aTerminatedTransactionLeavesNoTimers() {
+        SimulatedElement element = new SimulatedElement(true);
+        for (String method : List.of("OPTIONS", "INVITE")) {
+            SIPRequest request = SimulatedElement.request(method, "1", "c", null);
+            element.transactions.send(request, element, element.user());
+            element.receive(response(request, 486));
+            assertEquals(0, element.transactions.openCount());
+            assertEquals(0, element.scheduledTasks(), method);
+        }
+        element.receive(SimulatedElement.request("INVITE", "2", "d", null));
+        element.lastTransaction.respond(response(element.lastTransaction.request(), 200));
+        element.advance(32_000); // timer L
+        assertEquals(0, element.transactions.openCount());
+        assertEquals(0, element.scheduledTasks());
+    }
+
     @Test
     void aCancelWaitsForAProvisionalResponse() {
         SimulatedElement element = new SimulatedElement(false);
--- a/standins/src/main/java/walnutfield/standin/StandinScheduler.java
+++ b/standins/src/main/java/walnutfield/standin/StandinScheduler.java
@@ -1,8 +1,8 @@
 package walnutfield.standin;
 
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import walnutfield.net.Clock;
 import walnutfield.sip.Timers;
@@ -12,14 +12,15 @@
  * affect the others.
  */
 final class StandinScheduler implements Timers.Scheduler, AutoCloseable {
-    private final ScheduledExecutorService executor;
+    private final ScheduledThreadPoolExecutor executor;
 
     StandinScheduler(String name) {
-        executor = Executors.newSingleThreadScheduledExecutor(task -> {
+        executor = new ScheduledThreadPoolExecutor(1, task -> {
             Thread thread = new Thread(task, name);
             thread.setDaemon(true);
             return thread;
         });
+        executor.setRemoveOnCancelPolicy(true);
     }
 
     @Override
@@ -28,9 +29,9 @@
     }
 
     @Override
-    public void schedule(double time, Runnable task) {
+    public Timers.Cancellation schedule(double time, Runnable task) {
         try {
-            executor.schedule(
+            ScheduledFuture<?> future = executor.schedule(
                     () -> {
                         try {
                             task.run();
@@ -40,8 +41,9 @@
                     },
                     (long) (Math.max(0, time - now()) * 1000),
                     TimeUnit.MICROSECONDS);
-        } catch (RejectedExecutionException e) {
-            // the scheduler was closed at the end of the run
+            return () -> future.cancel(false);
+        } catch (RejectedExecutionException e) { // the scheduler was closed at the end of the run
+            return () -> {};
         }
     }
 
