Review, case 8: the end of a session is lost on a connection that its host forgot

Seen: hosts forget idle connections; the gateway writes the ends that viewers sent on one of them, it is reset, and nothing is sent again: sessions go on at their host, their seats are given away.

--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -291,6 +291,8 @@
     static class Link {
         final Socket socket;
         volatile boolean closed;
+        volatile boolean forgotten; // its host knows nothing of it any more
+        volatile double lastUsedAt = now(); // when a message last passed
 
         Link(Socket socket) throws IOException {
             this.socket = socket;
@@ -303,6 +305,7 @@
                 return false;
             }
             try {
+                lastUsedAt = now();
                 socket.getOutputStream().write(message.bytes());
                 return true;
             } catch (IOException e) {
@@ -691,6 +694,12 @@
                     if (silent) {
                         return;
                     }
+                    if (link.forgotten) { // what comes on a connection that its host does not know is answered by a reset
+                        log("%s reset a connection that it had forgotten", id);
+                        link.reset();
+                        return;
+                    }
+                    link.lastUsedAt = now();
                     received(link, message);
                 }
             } catch (IOException e) {
@@ -790,6 +799,20 @@
             log("%s has %d connections and refuses further ones", id, links.size());
         }
 
+        /** Forgets the connections that have been idle for this long: nothing is sent, and what comes is reset. */
+        void forgetIdle(double idleMs) {
+            int count = 0;
+            for (Link link : links) {
+                if (!link.closed && now() - link.lastUsedAt > idleMs) {
+                    link.closed = true;
+                    link.forgotten = true;
+                    links.remove(link);
+                    count++;
+                }
+            }
+            log("%s forgot %d idle connections", id, count);
+        }
+
         /** The process dies: its connections are reset, new ones are refused, its sessions are cut. */
         void die() throws IOException {
             silent = true;
@@ -908,6 +931,13 @@
             log("client sent set-up %s (%s, title %s)%s", request.id, request.trafficClass, request.title, sent ? "" : ": not written");
         }
 
+        /** The viewer ends a session that stands. */
+        void end(Request request) {
+            request.givenUp = true;
+            send(Message.request("TEARDOWN", request.title, 2, request.id).with("Reason", "cause=31"));
+            log("client ended %s", request.id);
+        }
+
         void giveUp(Request request) {
             request.givenUp = true;
             send(Message.request("TEARDOWN", request.title, 2, request.id));
