Review: a gateway whose port another program has taken is started anew

Seen in a series with ten scripts side by side: two stand-ins had chosen the same free port, and the set-ups of one case 7 went to the other's gateway (once 131 set-ups in place of 71, once none: status 2). A stand-in now waits until its own gateway says that it listens at the port, and chooses another one where it ended.

--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -36,6 +36,7 @@
     private static BufferedWriter record;
     private static Path folder;
     private static final List<Gateway> GATEWAYS = new CopyOnWriteArrayList<>();
+    private static final List<Process> STARTED = new CopyOnWriteArrayList<>();
     static final ScheduledExecutorService TIMER = Executors.newScheduledThreadPool(8, r -> daemon(r, "timer"));
 
     private Rig() {}
@@ -123,8 +124,8 @@
     }
 
     private static void endAll() {
+        STARTED.forEach(Process::destroyForcibly);
         for (Gateway gateway : GATEWAYS) {
-            gateway.process.destroyForcibly();
             try {
                 gateway.process.waitFor(5, TimeUnit.SECONDS);
                 Files.readAllLines(gateway.logFile).forEach(line -> log("log of %s: %s", gateway.name, line));
@@ -351,22 +352,31 @@
                     .findFirst()
                     .orElseThrow();
             run = run.substring(run.indexOf('"') + 1, run.lastIndexOf('"'));
-            int port;
-            try (ServerSocket free = new ServerSocket(0, 1, loopback())) {
-                port = free.getLocalPort();
-            }
-            address = new InetSocketAddress(loopback(), port);
-            config = folder.resolve(name + ".json");
-            writeConfig(settings, known, board, sockets);
-            logFile = folder.resolve(name + ".log");
             Path tmp = Files.createDirectory(folder.resolve(name + ".tmp"));
+            logFile = folder.resolve(name + ".log");
+            config = folder.resolve(name + ".json");
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile());
             builder.environment().put("GW_CONFIG", config.toString());
             builder.environment().put("TMPDIR", tmp.toString());
             builder.redirectErrorStream(true).redirectOutput(logFile.toFile());
-            process = builder.start();
-            GATEWAYS.add(this);
             double limit = now() + 30_000;
+            InetSocketAddress free;
+            Process started;
+            do { // another program may have taken the port before the gateway does: then it ends, and is started anew
+                free = freeAddress();
+                writeConfig(settings, known, free, board, sockets);
+                started = builder.start();
+                STARTED.add(started);
+                while (started.isAlive() && !Files.readString(logFile).contains(":" + free.getPort() + ",")) {
+                    sleep(20);
+                    if (now() > limit) {
+                        started.destroyForcibly();
+                    }
+                }
+            } while (!started.isAlive() && now() < limit);
+            address = free;
+            process = started;
+            GATEWAYS.add(this);
             while (!passesTest()) {
                 if (now() > limit || !process.isAlive()) {
                     throw new TimeoutException("the gateway did not get ready");
@@ -376,11 +386,19 @@
             log("gateway %s is ready", name);
         }
 
-        void writeConfig(String settings, String known, InetSocketAddress board, int sockets) throws IOException {
+        private static InetSocketAddress freeAddress() throws IOException {
+            try (ServerSocket free = new ServerSocket(0, 1, loopback())) {
+                return new InetSocketAddress(loopback(), free.getLocalPort());
+            }
+        }
+
+        private void writeConfig(
+                String settings, String known, InetSocketAddress listen, InetSocketAddress board, int sockets)
+                throws IOException {
             Path next = folder.resolve(name + ".next");
             Files.writeString(
                     next,
-                    "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + address.getPort()
+                    "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + listen.getPort()
                             + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
                             + sockets + "},\"board\":\"127.0.0.1:" + board.getPort() + "\",\"known\":" + known
                             + ",\"settings\":" + settings + "}");
