Hosts of HLS and SIP are known by id and start, not by address

Callers saw: set-ups for a host that had gone reached another one listed at its address; a call whose host names no instance stood for ever once a later process at the address answered OPTIONS; load reports of the new host counted for the old one; requests to a new host were written to idle connections of the old one.

Cause: HostListClient kept two hosts with one address side by side, HostMonitor takes any answer from the address for the host's, and net.Client pools connections by address. An HTTP session is watched by a stream of its own and ends with it: no session stood there.

Change: HostListClient goes by AddressHolders; Plays ends what was set up before the listed start of the process at the address and goes on elsewhere (to the desk as cancelled, since it tells nothing of the host listed now); reports count for the host that holds the address; idle connections to it are closed as its holder changes.

--- a/core/src/main/java/walnutfield/play/HostDescriptor.java
+++ b/core/src/main/java/walnutfield/play/HostDescriptor.java
@@ -24,4 +24,9 @@
         DRAINING,
         GONE
     }
+
+    /** Returns the entry of the same host with the state GONE. */
+    public HostDescriptor gone() {
+        return new HostDescriptor(host, place, maxStreams, cell, LifecycleState.GONE, capacityUnits, startedAt);
+    }
 }
--- a/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
+++ b/gateway/src/main/java/walnutfield/gateway/GatewayServer.java
@@ -92,7 +92,13 @@
             calls.attach(plays, admission);
         }
         hostListClient = new HostListClient(
-                eventLoop, listHttpClient, listSettings, name, plays::notifyDesk, plays::onHostListChanged);
+                eventLoop,
+                listHttpClient,
+                listSettings,
+                name,
+                plays::notifyDesk,
+                plays::onHostListChanged,
+                hostClient::closeIdle);
         front = new HttpFront(admission, hlsSessions, catalogue, metrics);
         server = new Server(name, frontSettings.selectorThreads(), frontSettings.limits(), front::handle);
         sweeper = PeriodicTask.start(name + "-untaken", SWEEP_INTERVAL_MS, admission::shedOverdue);
--- a/gateway/src/main/java/walnutfield/gateway/HlsViewing.java
+++ b/gateway/src/main/java/walnutfield/gateway/HlsViewing.java
@@ -291,12 +291,15 @@
             return;
         }
         if (event.type().equals("load")) {
-            hls.plays().notifyDesk(new Call.LoadReported(host, LoadField.read(event.data())));
+            hls.plays()
+                    .notifyDesk(new Call.LoadReported(hls.plays().reportingHost(this), LoadField.read(event.data())));
         } else if (event.type().equals("share")) {
             try {
                 double share = Double.parseDouble(event.data());
                 if (share >= 0 && share <= 1) {
-                    hls.plays().notifyDesk(new Call.DeliveredShareReported(host, share));
+                    hls.plays()
+                            .notifyDesk(
+                                    new Call.DeliveredShareReported(hls.plays().reportingHost(this), share));
                 }
             } catch (NumberFormatException invalid) {
                 LOG.atWarn().addKeyValue("host", host.value()).log("delivered share is not a number");
--- a/gateway/src/main/java/walnutfield/gateway/HostClient.java
+++ b/gateway/src/main/java/walnutfield/gateway/HostClient.java
@@ -145,6 +145,11 @@
                 });
     }
 
+    /** Closes the idle connections to an address at which another host listens now. */
+    void closeIdle(InetSocketAddress host) {
+        client.closeIdle(host);
+    }
+
     private Client.PendingRequest requestPlaylist(InetSocketAddress host, Request request, Consumer<Reply> listener) {
         return client.send(host, request, new CompleteResponseHandler() {
             @Override
--- a/gateway/src/main/java/walnutfield/gateway/HostListClient.java
+++ b/gateway/src/main/java/walnutfield/gateway/HostListClient.java
@@ -4,11 +4,14 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import walnutfield.desk.Call;
@@ -18,6 +21,7 @@
 import walnutfield.net.Client;
 import walnutfield.net.Headers;
 import walnutfield.net.Request;
+import walnutfield.play.AddressHolders;
 import walnutfield.play.HostDescriptor;
 import walnutfield.play.HostId;
 import walnutfield.play.LearnedState;
@@ -50,11 +54,15 @@
 
     private final LearnedStateFile learnedStateFile;
     private Client.PendingRequest stream;
+    private final AddressHolders<InetSocketAddress> addressHolders = new AddressHolders<>();
     private final Runnable onChanged;
+    private final Consumer<InetSocketAddress> onHolderChanged;
 
     /**
-     * @param desk      receives the changes of the list
-     * @param onChanged runs after each of them
+     * @param desk            receives the changes of the list
+     * @param onChanged       runs after each of them
+     * @param onHolderChanged receives each address at which another host listens than before, or the same one after it
+     *                        has started again
      */
     HostListClient(
             EventLoop eventLoop,
@@ -62,12 +70,14 @@
             GatewaySettings.Lists settings,
             String gateway,
             Consumer<Call> desk,
-            Runnable onChanged) {
+            Runnable onChanged,
+            Consumer<InetSocketAddress> onHolderChanged) {
         this.eventLoop = eventLoop;
         this.httpClient = httpClient;
         this.settings = settings;
         this.desk = desk;
         this.onChanged = onChanged;
+        this.onHolderChanged = onHolderChanged;
         learnedStateFile = new LearnedStateFile(settings.learnedStateFile());
         via = "1.1 " + gateway;
     }
@@ -84,9 +94,7 @@
         if (settings.persistedListFile() != null && Files.exists(settings.persistedListFile())) {
             try {
                 HostList list = HostList.parse(Files.readString(settings.persistedListFile()));
-                list.hosts()
-                        .forEach(entry -> entries.put(entry.descriptor().host().value(), entry));
-                descriptors = list.hosts().stream().map(HostEntry::descriptor).toList();
+                descriptors = updateEntries(list);
             } catch (IOException | HostList.Malformed e) {
                 LOG.atWarn()
                         .addKeyValue("file", settings.persistedListFile())
@@ -182,21 +190,13 @@
                     .log("list regained");
         }
         Map<String, HostEntry> previousEntries = new TreeMap<>(entries);
-        if (list.complete()) {
-            entries.clear();
-        }
-        for (HostEntry entry : list.hosts()) {
-            if (entry.descriptor().state() == HostDescriptor.LifecycleState.GONE) {
-                entries.remove(entry.descriptor().host().value());
-            } else {
-                entries.put(entry.descriptor().host().value(), entry);
-            }
-        }
+        List<HostDescriptor> descriptors = updateEntries(list);
         if (!previousEntries.equals(entries)) {
             persistList();
         }
-        List<HostDescriptor> descriptors =
-                list.hosts().stream().map(HostEntry::descriptor).toList();
+        entries.values().stream()
+                .filter(entry -> holderChanged(entry, previousEntries))
+                .forEach(entry -> onHolderChanged.accept(entry.address()));
         desk.accept(
                 !list.complete()
                         ? new Call.HostListUpdated(descriptors)
@@ -210,6 +210,61 @@
         onChanged.run();
     }
 
+    /**
+     * Applies a list to the entries. A host whose address another one has taken is gone, though the list may still name
+     * it.
+     *
+     * @return the changed entries as the desk is to see them
+     */
+    private List<HostDescriptor> updateEntries(HostList list) {
+        Map<HostId, HostDescriptor> changed = new LinkedHashMap<>();
+        if (list.complete()) {
+            Set<HostId> listedHosts = list.hosts().stream()
+                    .map(entry -> entry.descriptor().host())
+                    .collect(Collectors.toSet());
+            List.copyOf(entries.values()).stream()
+                    .map(entry -> entry.descriptor().host())
+                    .filter(host -> !listedHosts.contains(host))
+                    .forEach(this::removeEntry);
+        }
+        for (HostEntry entry : list.hosts()) {
+            HostDescriptor descriptor = entry.descriptor();
+            changed.put(descriptor.host(), descriptor);
+            if (descriptor.state() == HostDescriptor.LifecycleState.GONE) {
+                removeEntry(descriptor.host());
+            } else {
+                entries.put(descriptor.host().value(), entry);
+                addressHolders.listed(descriptor.host(), entry.address(), descriptor.startedAt());
+            }
+        }
+        for (HostEntry entry : List.copyOf(entries.values())) {
+            if (addressHolders.isSuperseded(entry.descriptor().host())) {
+                entries.remove(entry.descriptor().host().value());
+                changed.put(entry.descriptor().host(), entry.descriptor().gone());
+            }
+        }
+        return List.copyOf(changed.values());
+    }
+
+    private void removeEntry(HostId host) {
+        entries.remove(host.value());
+        addressHolders.removed(host);
+    }
+
+    private static boolean holderChanged(HostEntry entry, Map<String, HostEntry> previousEntries) {
+        HostEntry previous = previousEntries.get(entry.descriptor().host().value());
+        return previous == null
+                || !previous.address().equals(entry.address())
+                || previous.descriptor().startedAt() != entry.descriptor().startedAt();
+    }
+
+    /** Returns the entry of the host that holds the address; null if there is none. */
+    HostDescriptor holder(InetSocketAddress address) {
+        HostId holder = addressHolders.holder(address);
+        HostEntry entry = holder == null ? null : entries.get(holder.value());
+        return entry == null ? null : entry.descriptor();
+    }
+
     /** Returns whether the host is listed as ready for new plays. */
     boolean isReady(HostId host) {
         HostEntry entry = entries.get(host.value());
--- a/gateway/src/main/java/walnutfield/gateway/HostMonitor.java
+++ b/gateway/src/main/java/walnutfield/gateway/HostMonitor.java
@@ -77,11 +77,12 @@
         }
         LoadReport load = SipFront.loadReport(response);
         if (load != LoadReport.NONE) {
-            calls.plays().notifyDesk(new Call.LoadReported(anyCall.host, load));
+            calls.plays().notifyDesk(new Call.LoadReported(calls.plays().reportingHost(anyCall), load));
         }
         double share = SipFront.deliveredShare(response);
         if (!Double.isNaN(share)) {
-            calls.plays().notifyDesk(new Call.DeliveredShareReported(anyCall.host, share));
+            calls.plays()
+                    .notifyDesk(new Call.DeliveredShareReported(calls.plays().reportingHost(anyCall), share));
         }
     }
 
--- a/gateway/src/main/java/walnutfield/gateway/Plays.java
+++ b/gateway/src/main/java/walnutfield/gateway/Plays.java
@@ -18,6 +18,7 @@
 import walnutfield.gateway.Viewing.Phase;
 import walnutfield.loop.EventLoop;
 import walnutfield.play.GatewayActions;
+import walnutfield.play.HostDescriptor;
 import walnutfield.play.HostId;
 import walnutfield.play.LoadReport;
 import walnutfield.play.Outcome;
@@ -105,10 +106,29 @@
                     && !hostList.isReady(viewing.host)
                     && viewing.leg.cancelIfUnsent()) {
                 onLegResult(viewing, viewing.play, viewing.legCount - 1, LegResult.failed(Outcome.NOT_SENT, "drains"));
+            } else if (viewing.isMonitoring() && isHostReplaced(viewing)) {
+                viewing.stopMonitoring(true); // in case the listed start is later than the actual one
+                recover(viewing, viewing.play, Outcome.CANCELLED, false); // says nothing about the host listed now
             }
         }
     }
 
+    /** Returns whether the process that listens at the host's address started after the session was set up. */
+    private boolean isHostReplaced(Viewing viewing) {
+        HostDescriptor holder = hostList.holder(viewing.address);
+        if (holder == null) {
+            return false;
+        }
+        return holder.startedAt() > viewing.legSentAt
+                || holder.startedAt() == 0 && !holder.host().equals(viewing.host);
+    }
+
+    /** Returns the host that a report from a viewing's host concerns: the one that holds the address by now. */
+    HostId reportingHost(Viewing viewing) {
+        HostDescriptor holder = hostList.holder(viewing.address);
+        return holder == null ? viewing.host : holder.host();
+    }
+
     /** Returns the number of requests that wait for their answer. */
     int unansweredRequests() {
         return unansweredRequests;
@@ -402,7 +422,7 @@
         }
         notifyDesk(new Call.LegStarted(play, leg, viewing.host, elapsedMs));
         if (result.load() != LoadReport.NONE) {
-            notifyDesk(new Call.LoadReported(viewing.host, result.load()));
+            notifyDesk(new Call.LoadReported(reportingHost(viewing), result.load()));
         }
     }
 
--- a/gateway/src/test/java/walnutfield/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/walnutfield/gateway/GatewayHarness.java
@@ -205,6 +205,23 @@
                 + "], place=PlaceId[value=p], maxStreams=40, cell=" + index + ", state=" + state);
     }
 
+    /** Lists another host, ready, at the address of one of the hosts and waits until the desk has received it. */
+    void sendHostAtAddressOf(int index, String id, int cell, double startedAt) throws InterruptedException {
+        HostDescriptor descriptor = new HostDescriptor(
+                new HostId(id), new PlaceId("p"), 40, cell, HostDescriptor.LifecycleState.READY, 1, startedAt);
+        HostEntry entry =
+                new HostEntry(descriptor, hostEntry(index, descriptor.state()).address());
+        sendList(new HostList(false, ++listNumber, List.of(entry)).text());
+        for (int i = 0; i < 1000; i++) {
+            if (deskCalls().stream()
+                    .anyMatch(c -> c.startsWith("HostListUpdated") && c.contains("value=" + id + "]"))) {
+                return;
+            }
+            Thread.sleep(10);
+        }
+        throw new AssertionError("the desk never received host " + id);
+    }
+
     void sendList(String text) {
         list.sendChunk(new Event("hosts", text).bytes());
     }
--- a/gateway/src/test/java/walnutfield/gateway/SipPeer.java
+++ b/gateway/src/test/java/walnutfield/gateway/SipPeer.java
@@ -42,7 +42,7 @@
     private final SipTransport node;
     private Flow flow;
     volatile boolean ignoresOptions = true;
-    volatile String hostInstance = "one";
+    volatile String hostInstance = "one"; // null for a host that does not name it
     volatile String reportHeader; // "name: value", added to responses to OPTIONS; null for none
     volatile OverloadControl overload; // added to the Via of responses to OPTIONS; null for none
 
@@ -70,7 +70,9 @@
 
     private void answerOptions(Received options) {
         SIPResponse response = Transactions.response(options.request(), 200, "o");
-        SipCodec.addHeader(response, SipFront.HOST_INSTANCE_HEADER, hostInstance);
+        if (hostInstance != null) {
+            SipCodec.addHeader(response, SipFront.HOST_INSTANCE_HEADER, hostInstance);
+        }
         if (reportHeader != null) {
             SipCodec.addHeader(
                     response,
@@ -161,7 +163,8 @@
 
     /** Accepts an INVITE as a host does, with a 200, and waits for the ACK. */
     void accept(Received invite) throws InterruptedException {
-        respond(invite, 200, SipFront.HOST_INSTANCE_HEADER, "one", Sdp.of("127.0.0.1", port, 1, 800));
+        String instanceHeader = hostInstance == null ? null : SipFront.HOST_INSTANCE_HEADER;
+        respond(invite, 200, instanceHeader, hostInstance, Sdp.of("127.0.0.1", port, 1, 800));
         await("ACK");
     }
 
--- a/net/src/main/java/walnutfield/net/Client.java
+++ b/net/src/main/java/walnutfield/net/Client.java
@@ -175,6 +175,17 @@
         }
     }
 
+    /** Closes the idle connections to an address; used where another server is known to listen there now. */
+    public void closeIdle(InetSocketAddress address) {
+        ArrayDeque<IdleConnection> pool;
+        synchronized (pools) {
+            pool = pools.remove(address);
+        }
+        if (pool != null) {
+            pool.forEach(entry -> entry.connection().closeSilently());
+        }
+    }
+
     /** Returns the number of connect timeouts that are running. */
     int pendingConnectTimeouts() {
         return timers.getQueue().size() - 1; // without the task that closes expired connections
--- a/net/src/test/java/walnutfield/net/HttpTest.java
+++ b/net/src/test/java/walnutfield/net/HttpTest.java
@@ -265,4 +265,19 @@
             }
         }
     }
+
+    /** Guards against requests that are written to an idle connection of a server that no longer has the address. */
+    @Test
+    void idleConnectionsToAnAddressCanBeClosed() throws Exception {
+        startServer(exchange -> exchange.respond(200, Headers.NONE, new byte[0]));
+        sendGet("/");
+        assertEquals("done 200 ", nextStartingWith("done"));
+        assertEquals(1, server.connectionCount());
+        client.closeIdle(address);
+        long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (server.connectionCount() > 0 && System.nanoTime() < giveUpAt) {
+            Thread.sleep(5);
+        }
+        assertEquals(0, server.connectionCount());
+    }
 }
