A message in many pieces or of many fields costs no more than its bytes to find

Change: Framer keeps one buffer that doubles, and the place up to which it was searched; it reads the head without splitting it; a message is delivered one at a time on request, for a reader that wants to wait.

--- a/sip/src/main/java/walnutfield/sip/Framer.java
+++ b/sip/src/main/java/walnutfield/sip/Framer.java
@@ -1,6 +1,5 @@
 package walnutfield.sip;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.function.Consumer;
@@ -13,11 +12,19 @@
 public final class Framer {
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,9}");
     private static final byte[] PING = {'\r', '\n', '\r', '\n'};
+    private static final byte[] EMPTY = new byte[0];
+    private static final String LENGTH_NAME = "Content-Length";
+    private static final char LENGTH_SHORT_NAME = 'l';
+    private static final int UNKNOWN = -1;
 
     private final int maxMessageBytes;
     private final Consumer<byte[]> receiver;
     private final Runnable pingHandler;
-    private byte[] incomplete = new byte[0]; // the start of a message; at most one message long
+    private byte[] buffer = EMPTY; // received bytes that are not delivered yet, from start to end
+    private int start;
+    private int end;
+    private int searched; // no header section that begins at start ends before this
+    private int messageEnd = UNKNOWN; // end of the message that begins at start, once its header section is complete
 
     /**
      * @param maxMessageBytes limit of a message with its header section
@@ -37,61 +44,112 @@
      *                                   closed
      */
     public void receive(byte[] received) throws MalformedMessageException {
-        ByteArrayOutputStream joined = new ByteArrayOutputStream(incomplete.length + received.length);
-        joined.writeBytes(incomplete);
-        joined.writeBytes(received);
-        byte[] bytes = joined.toByteArray();
-        int from = 0;
-        while (from < bytes.length) {
-            from = skipKeepAlives(bytes, from);
-            if (from == bytes.length || isLineEnd(bytes[from])) {
-                break;
-            }
-            int headerEnd = headerEnd(bytes, from);
-            if (headerEnd < 0) {
-                if (bytes.length - from > maxMessageBytes) {
-                    throw new MalformedMessageException(
-                            513, "header section longer than " + maxMessageBytes + " bytes");
-                }
-                break;
-            }
-            long length = contentLength(new String(bytes, from, headerEnd - from, StandardCharsets.ISO_8859_1));
-            if (length < 0 || headerEnd - from + length > maxMessageBytes) {
-                throw new MalformedMessageException(
-                        length < 0 ? 400 : 513,
-                        length < 0
-                                ? "missing or invalid Content-Length in a message on a stream"
-                                : "message longer than " + maxMessageBytes + " bytes");
-            }
-            if (bytes.length - headerEnd < length) {
-                break;
+        append(received);
+        while (deliverNext()) {
+            // delivers one message at a time
+        }
+    }
+
+    /** Adds received bytes without delivering anything. */
+    public void append(byte[] received) {
+        reserve(received.length);
+        System.arraycopy(received, 0, buffer, end, received.length);
+        end += received.length;
+    }
+
+    /** Makes room for more bytes behind the end; the capacity doubles, so that a message is copied a few times at most. */
+    private void reserve(int byteCount) {
+        int used = end - start;
+        if (end + byteCount <= buffer.length) {
+            return;
+        }
+        int needed = used + byteCount;
+        byte[] target =
+                needed <= buffer.length / 2 ? buffer : new byte[Math.max(needed, Math.min(2 * used, maxMessageBytes))];
+        System.arraycopy(buffer, start, target, 0, used);
+        buffer = target;
+        searched = Math.max(0, searched - start);
+        messageEnd = messageEnd == UNKNOWN ? UNKNOWN : messageEnd - start;
+        start = 0;
+        end = used;
+    }
+
+    /**
+     * Delivers the next message if it is complete.
+     *
+     * @return whether a message was delivered
+     * @throws MalformedMessageException if the end of a message cannot be determined; the connection must then be
+     *                                   closed
+     */
+    public boolean deliverNext() throws MalformedMessageException {
+        if (messageEnd == UNKNOWN && !findMessageEnd() || end < messageEnd) {
+            return false;
+        }
+        byte[] message = Arrays.copyOfRange(buffer, start, messageEnd);
+        start = messageEnd;
+        searched = start;
+        messageEnd = UNKNOWN;
+        releaseEmptyBuffer();
+        receiver.accept(message);
+        return true;
+    }
+
+    /** Finds the end of the next message; returns false if its header section is incomplete. */
+    private boolean findMessageEnd() throws MalformedMessageException {
+        start = skipKeepAlives(start);
+        searched = Math.max(searched, start);
+        if (start == end || isLineEnd(buffer[start])) {
+            releaseEmptyBuffer();
+            return false;
+        }
+        int headerEnd = findHeaderEnd();
+        if (headerEnd == UNKNOWN) {
+            if (end - start > maxMessageBytes) {
+                throw new MalformedMessageException(513, "header section longer than " + maxMessageBytes + " bytes");
             }
-            receiver.accept(Arrays.copyOfRange(bytes, from, headerEnd + (int) length));
-            from = headerEnd + (int) length;
+            searched = end;
+            return false;
+        }
+        long length = contentLength(headerEnd);
+        if (length == UNKNOWN) {
+            throw new MalformedMessageException(400, "missing or invalid Content-Length in a message on a stream");
+        }
+        if (headerEnd - start + length > maxMessageBytes) {
+            throw new MalformedMessageException(513, "message longer than " + maxMessageBytes + " bytes");
+        }
+        messageEnd = headerEnd + (int) length;
+        return true;
+    }
+
+    private void releaseEmptyBuffer() {
+        if (start == end) {
+            buffer = EMPTY;
+            start = 0;
+            end = 0;
+            searched = 0;
         }
-        incomplete = Arrays.copyOfRange(bytes, Math.min(from, bytes.length), bytes.length);
     }
 
-    /** Whether a message has arrived in part. */
+    /** Whether a message has arrived in part, or whole but is not delivered yet. */
     public boolean isPartial() {
-        return incomplete.length > 0;
+        return end > start;
     }
 
     /**
      * Skips line ends and keep-alives; returns where the next message begins, or where bytes begin that may become a
      * keep-alive with those yet to arrive.
      */
-    private int skipKeepAlives(byte[] bytes, int from) {
+    private int skipKeepAlives(int from) {
         int i = from;
-        while (i < bytes.length && isLineEnd(bytes[i])) {
+        while (i < end && isLineEnd(buffer[i])) {
             int matched = 0;
-            while (matched < PING.length && i + matched < bytes.length && bytes[i + matched] == PING[matched]) {
+            while (matched < PING.length && i + matched < end && buffer[i + matched] == PING[matched]) {
                 matched++;
             }
             if (matched == PING.length) {
                 pingHandler.run();
                 i += matched;
-            } else if (i + matched == bytes.length) {
+            } else if (i + matched == end) {
                 return i;
             } else {
                 i++;
@@ -104,26 +162,65 @@
         return b == '\r' || b == '\n';
     }
 
-    /** The index after the empty line that ends the header section; -1 if it has not arrived. */
-    private static int headerEnd(byte[] bytes, int from) {
-        for (int i = from + 3; i < bytes.length; i++) {
-            if (bytes[i] == '\n' && bytes[i - 1] == '\r' && bytes[i - 2] == '\n' && bytes[i - 3] == '\r') {
+    /** The index after the empty line that ends the header section; UNKNOWN if it has not arrived. */
+    private int findHeaderEnd() {
+        for (int i = Math.max(start + PING.length - 1, searched); i < end; i++) {
+            if (buffer[i] == '\n' && buffer[i - 1] == '\r' && buffer[i - 2] == '\n' && buffer[i - 3] == '\r') {
                 return i + 1;
             }
         }
-        return -1;
+        return UNKNOWN;
     }
 
-    /** The value of Content-Length, or of its short form "l"; -1 if it is absent or no number. */
-    private static long contentLength(String header) {
-        for (String line : header.split("\r\n")) {
-            int colon = line.indexOf(':');
-            String name = colon < 0 ? "" : line.substring(0, colon).strip();
-            if (name.equalsIgnoreCase("Content-Length") || name.equalsIgnoreCase("l")) {
-                String value = line.substring(colon + 1).strip();
-                return LENGTH.matcher(value).matches() ? Long.parseLong(value) : -1;
+    /** The value of Content-Length, or of its short form "l"; UNKNOWN if it is absent or no number. */
+    private long contentLength(int headerEnd) {
+        int lineStart = start;
+        while (lineStart < headerEnd) {
+            int lineEnd = lineEnd(lineStart, headerEnd);
+            int colon = indexOf(':', lineStart, lineEnd);
+            if (colon < lineEnd && isLengthName(lineStart, colon)) {
+                String value = text(colon + 1, lineEnd).strip();
+                return LENGTH.matcher(value).matches() ? Long.parseLong(value) : UNKNOWN;
             }
+            lineStart = lineEnd + 2;
+        }
+        return UNKNOWN;
+    }
+
+    /** Compares without creating a string for each header line, of which there may be thousands. */
+    private boolean isLengthName(int from, int to) {
+        int first = from;
+        int last = to;
+        while (first < last && Character.isWhitespace(buffer[first])) {
+            first++;
+        }
+        while (last > first && Character.isWhitespace(buffer[last - 1])) {
+            last--;
+        }
+        int length = last - first;
+        return length == 1 && Character.toLowerCase(buffer[first]) == LENGTH_SHORT_NAME
+                || length == LENGTH_NAME.length() && text(first, last).equalsIgnoreCase(LENGTH_NAME);
+    }
+
+    /** The index of the next CRLF; a CR or LF by itself ends no line. */
+    private int lineEnd(int from, int to) {
+        int i = indexOf('\r', from, to);
+        while (i + 1 < to && buffer[i + 1] != '\n') {
+            i = indexOf('\r', i + 1, to);
+        }
+        return i;
+    }
+
+    /** The index of the character, or the end of the range. */
+    private int indexOf(char wanted, int from, int to) {
+        int i = from;
+        while (i < to && buffer[i] != wanted) {
+            i++;
         }
-        return -1;
+        return i;
+    }
+
+    private String text(int from, int to) {
+        return new String(buffer, from, to - from, StandardCharsets.ISO_8859_1);
     }
 }
