A client at full speed is slowed by TCP, at no cost to others

Cause: the reader slept on the I/O thread that all connections share, and what it had read waited in one queue ahead of all others', 500 messages and more for each connection, counted by bytes though a parsed message of short fields weighs ten times its bytes.

--- a/net/src/main/java/walnutfield/net/stream/TcpStream.java
+++ b/net/src/main/java/walnutfield/net/stream/TcpStream.java
@@ -6,9 +6,12 @@
 import java.util.List;
 import java.util.function.IntPredicate;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.NIOTransport;
+import org.glassfish.grizzly.nio.SelectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnection;
 
 /** One TCP connection as a byte stream. Any thread may write to it or close it. */
@@ -92,6 +95,40 @@
         }
     }
 
+    /** Stops reading until {@link #resumeReading}; to be called by the handler while it receives bytes. */
+    public void pauseReading() {
+        try {
+            ((NIOConnection) connection).disableIOEvent(IOEvent.READ);
+        } catch (IOException e) { // the connection is already closed or broken
+            connection.closeSilently();
+        }
+    }
+
+    /**
+     * Reads on after a pause. Any thread may call it.
+     *
+     * @param first runs before that, on the I/O thread; it may pause the stream again
+     */
+    public void resumeReading(Runnable first) {
+        NIOConnection nioConnection = (NIOConnection) connection;
+        SelectorHandler selectorHandler = ((NIOTransport) connection.getTransport()).getSelectorHandler();
+        selectorHandler.enque(
+                nioConnection.getSelectorRunner(),
+                () -> {
+                    if (connection.isOpen()) {
+                        nioConnection.enableIOEvent(IOEvent.READ);
+                        runExclusively(first);
+                    }
+                    return true;
+                },
+                null);
+    }
+
+    /** Runs a task of the handler, which is not called meanwhile. */
+    private synchronized void runExclusively(Runnable task) {
+        task.run();
+    }
+
     /** Closes the connection; the handler is notified. */
     public void close() {
         connection.closeSilently();
--- a/net/src/test/java/walnutfield/net/stream/TcpTransportTest.java
+++ b/net/src/test/java/walnutfield/net/stream/TcpTransportTest.java
@@ -203,4 +203,36 @@
             }
         }
     }
+
+    /** Guards against readers that have to sleep on the I/O thread to slow down a peer. */
+    @Test
+    void aPausedStreamIsNotReadUntilItIsResumed() throws Exception {
+        List<TcpStream> accepted = new CopyOnWriteArrayList<>();
+        InetSocketAddress address = streams.bind(new InetSocketAddress("127.0.0.1", 0), stream -> {
+            accepted.add(stream);
+            return new TcpTransport.Handler() {
+                @Override
+                public void received(byte[] bytes) {
+                    stream.pauseReading();
+                    events.add(new String(bytes));
+                }
+
+                @Override
+                public void closed() {
+                    events.add("closed");
+                }
+            };
+        });
+        try (Socket peer = new Socket(address.getAddress(), address.getPort())) {
+            peer.getOutputStream().write("ab".getBytes());
+            assertEquals("ab", nextEvent());
+            peer.getOutputStream().write("cd".getBytes());
+            assertNull(events.poll(200, TimeUnit.MILLISECONDS), "it was read though it was paused");
+            accepted.get(0).resumeReading(() -> events.add("resumed"));
+            assertEquals("resumed", nextEvent());
+            assertEquals("cd", nextEvent());
+            accepted.get(0).resumeReading(() -> {});
+        }
+        assertEquals("closed", nextEvent());
+    }
 }
