Set-ups behind a backlog are not sent on after their client closed

Cause: the close is read behind all that was sent before it, and a set-up was sent on as soon as it had been read.

--- a/net/src/main/java/walnutfield/net/stream/TcpStream.java
+++ b/net/src/main/java/walnutfield/net/stream/TcpStream.java
@@ -110,18 +110,32 @@
      * @param first runs before that, on the I/O thread; it may pause the stream again
      */
     public void resumeReading(Runnable first) {
-        NIOConnection nioConnection = (NIOConnection) connection;
+        enqueue(() -> {
+            ((NIOConnection) connection).enableIOEvent(IOEvent.READ);
+            runExclusively(first);
+        });
+    }
+
+    /** Runs a task on the I/O thread once every stream that is readable by then has been read. Any thread may call it. */
+    public void runAfterNextReads(Runnable task) {
+        enqueue(() -> enqueue(() -> runExclusively(task))); // the selector selects between the two
+    }
+
+    /** A task that may fail as the connection breaks. */
+    private interface IoTask {
+        void run() throws IOException;
+    }
+
+    /** Runs a task on the I/O thread before it selects again, unless the connection is closed by then. */
+    private void enqueue(IoTask task) {
         SelectorHandler selectorHandler = ((NIOTransport) connection.getTransport()).getSelectorHandler();
-        selectorHandler.enque(
-                nioConnection.getSelectorRunner(),
-                () -> {
-                    if (connection.isOpen()) {
-                        nioConnection.enableIOEvent(IOEvent.READ);
-                        runExclusively(first);
-                    }
-                    return true;
-                },
-                null);
+        SelectorHandler.Task guarded = () -> {
+            if (connection.isOpen()) {
+                task.run();
+            }
+            return true;
+        };
+        selectorHandler.enque(((NIOConnection) connection).getSelectorRunner(), guarded, null);
     }
 
     /** Runs a task of the handler, which is not called meanwhile. */
--- a/net/src/main/java/walnutfield/net/stream/TcpTransport.java
+++ b/net/src/main/java/walnutfield/net/stream/TcpTransport.java
@@ -32,7 +32,9 @@
  * keep memory use low.
  */
 public final class TcpTransport implements AutoCloseable {
-    private static final int READ_BUFFER_BYTES = 16_384;
+    /** What one read returns at most; more may be waiting behind a read of this length. */
+    public static final int READ_BUFFER_BYTES = 16_384;
+
     private static final int ACCEPT_BACKLOG = 1024;
     private static final int FAIR_PENDING_BYTES = 16_384; // what any peer may leave unread
     private static final Attribute<TcpStream> STREAM_ATTRIBUTE =
