A SIP connection is read no faster than its messages are processed

Change: a Flow counts the messages that wait; SipTransport pauses a TCP connection at 100 and drops datagrams at 1,000, which their senders retransmit (RFC 3261, section 17). ReadControl is shared by SipTransport and TcpStream.

HTTP bounds its pipelined requests already: read, not tried.

--- a/gateway/src/main/java/walnutfield/gateway/SipFront.java
+++ b/gateway/src/main/java/walnutfield/gateway/SipFront.java
@@ -203,8 +203,12 @@
                 && r.getToTag() == null
                 && !r.getMethod().equals("CANCEL")
                 && !r.getMethod().equals("ACK");
-        if (!outsideDialog) { // needs no admission: the open dialogs and transactions bound the number of such messages
-            eventLoop.post(() -> transactions.receive(message, from));
+        if (!outsideDialog) { // needs no admission, but the transport bounds how many wait
+            from.messageQueued();
+            eventLoop.post(() -> {
+                from.messageProcessed();
+                transactions.receive(message, from);
+            });
         } else {
             SIPRequest request = (SIPRequest) message;
             String key = Transactions.retransmissionKey(request);
--- a/net/src/main/java/walnutfield/net/sip/SipTransport.java
+++ b/net/src/main/java/walnutfield/net/sip/SipTransport.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -28,6 +30,7 @@
 import org.glassfish.grizzly.nio.transport.UDPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import walnutfield.net.ErrorReportingFilter;
+import walnutfield.net.ReadControl;
 import walnutfield.sip.Flow;
 import walnutfield.sip.Framer;
 import walnutfield.sip.MalformedMessageException;
@@ -45,6 +48,8 @@
 
     private static final int MAX_MESSAGE_BYTES = 65_536; // size of a UDP read, and limit of a message on TCP
     private static final int MAX_PENDING_BYTES = 1 << 20; // queued for a TCP peer that does not read
+    private static final int MAX_QUEUED_PER_CONNECTION = 100; // messages that wait to be processed; beyond it, a pause
+    private static final int MAX_QUEUED_DATAGRAMS = 1_000; // that wait to be processed; beyond it, they are dropped
     private static final byte[] PONG = {'\r', '\n'}; // the reply to a keep-alive on TCP (RFC 5626, section 4.4.1)
     private static final Attribute<TcpFlow> TCP_FLOW =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("walnutfield.sip.stream");
@@ -56,6 +61,7 @@
     // Listening sockets by port; unbind removes them.
     private final Map<Integer, UDPNIOServerConnection> udpListeners = new ConcurrentHashMap<>();
     private final Map<Integer, TCPNIOServerConnection> tcpListeners = new ConcurrentHashMap<>();
+    private final AtomicInteger queuedDatagrams = new AtomicInteger();
     private final Set<TcpFlow> tcpFlows = ConcurrentHashMap.newKeySet(); // open connections, removed when they close
 
     /**
@@ -200,6 +206,16 @@
                 listener.write(peer, Buffers.wrap(udp.getMemoryManager(), message), null);
             }
         }
+
+        @Override
+        public void messageQueued() {
+            queuedDatagrams.incrementAndGet();
+        }
+
+        @Override
+        public void messageProcessed() {
+            queuedDatagrams.decrementAndGet();
+        }
     }
 
     /** One TCP connection, whose bytes are split into messages. */
@@ -208,11 +224,15 @@
         private final InetSocketAddress peer;
         private final int localPort;
         private final Framer framer;
+        private final ReadControl readControl;
+        private final AtomicInteger queued = new AtomicInteger();
+        private final AtomicBoolean paused = new AtomicBoolean();
 
         TcpFlow(Connection<?> newConnection) {
             connection = newConnection;
             peer = (InetSocketAddress) newConnection.getPeerAddress();
             localPort = ((InetSocketAddress) newConnection.getLocalAddress()).getPort();
+            readControl = new ReadControl(newConnection);
             framer = new Framer(MAX_MESSAGE_BYTES, m -> receiver.onMessage(m, this, localPort), () -> send(PONG));
         }
 
@@ -235,6 +255,44 @@
                 ((Connection) connection).write(Buffers.wrap(tcp.getMemoryManager(), message));
             }
         }
+
+        void received(byte[] bytes) {
+            framer.append(bytes);
+            readMessages();
+        }
+
+        /** Passes on the messages that have arrived, until too many wait to be processed. */
+        private void readMessages() {
+            try {
+                while (queued.get() < MAX_QUEUED_PER_CONNECTION && framer.deliverNext()) {
+                    // delivers one message at a time
+                }
+            } catch (MalformedMessageException e) {
+                connection.closeSilently();
+                return;
+            }
+            if (queued.get() >= MAX_QUEUED_PER_CONNECTION) {
+                readControl.pause();
+                paused.set(true);
+                resumeIfDrained(queued.get()); // they may have been processed meanwhile
+            }
+        }
+
+        private void resumeIfDrained(int left) {
+            if (left <= MAX_QUEUED_PER_CONNECTION / 2 && paused.compareAndSet(true, false)) {
+                readControl.resume(this::readMessages);
+            }
+        }
+
+        @Override
+        public void messageQueued() {
+            queued.incrementAndGet();
+        }
+
+        @Override
+        public void messageProcessed() {
+            resumeIfDrained(queued.decrementAndGet());
+        }
     }
 
     /** Passes each datagram on as one message. */
@@ -243,7 +301,8 @@
         public NextAction handleRead(FilterChainContext ctx) {
             byte[] message = bytes(ctx.getMessage());
             int port = ((InetSocketAddress) ctx.getConnection().getLocalAddress()).getPort();
-            if (message.length > 4) { // up to 4 bytes are a keep-alive
+            // Up to 4 bytes are a keep-alive.
+            if (message.length > 4 && queuedDatagrams.get() < MAX_QUEUED_DATAGRAMS) {
                 receiver.onMessage(message, new UdpFlow(port, (InetSocketAddress) ctx.getAddress()), port);
             }
             return ctx.getStopAction();
@@ -264,12 +323,7 @@
 
         @Override
         public NextAction handleRead(FilterChainContext ctx) {
-            byte[] received = bytes(ctx.getMessage());
-            try {
-                tcpFlowOf(ctx.getConnection()).framer.receive(received);
-            } catch (MalformedMessageException e) {
-                ctx.getConnection().closeSilently();
-            }
+            tcpFlowOf(ctx.getConnection()).received(bytes(ctx.getMessage()));
             return ctx.getStopAction();
         }
 
--- a/net/src/main/java/walnutfield/net/stream/TcpStream.java
+++ b/net/src/main/java/walnutfield/net/stream/TcpStream.java
@@ -6,17 +6,16 @@
 import java.util.List;
 import java.util.function.IntPredicate;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 import org.glassfish.grizzly.nio.NIOConnection;
-import org.glassfish.grizzly.nio.NIOTransport;
-import org.glassfish.grizzly.nio.SelectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnection;
+import walnutfield.net.ReadControl;
 
 /** One TCP connection as a byte stream. Any thread may write to it or close it. */
 public final class TcpStream {
     private final Connection<?> connection;
+    private final ReadControl readControl;
     private final MemoryManager<?> memory;
     private final List<byte[]> undelivered = new ArrayList<>(); // received before a handler was attached
     private final IntPredicate pendingAllowed;
@@ -27,6 +26,7 @@
     TcpStream(Connection<?> connection, MemoryManager<?> memory, IntPredicate pendingAllowed) {
         this.pendingAllowed = pendingAllowed;
         this.connection = connection;
+        readControl = new ReadControl(connection);
         this.memory = memory;
     }
 
@@ -97,11 +97,7 @@
 
     /** Stops reading until {@link #resumeReading}; to be called by the handler while it receives bytes. */
     public void pauseReading() {
-        try {
-            ((NIOConnection) connection).disableIOEvent(IOEvent.READ);
-        } catch (IOException e) { // the connection is already closed or broken
-            connection.closeSilently();
-        }
+        readControl.pause();
     }
 
     /**
@@ -110,32 +106,12 @@
      * @param first runs before that, on the I/O thread; it may pause the stream again
      */
     public void resumeReading(Runnable first) {
-        enqueue(() -> {
-            ((NIOConnection) connection).enableIOEvent(IOEvent.READ);
-            runExclusively(first);
-        });
+        readControl.resume(() -> runExclusively(first));
     }
 
     /** Runs a task on the I/O thread once every stream that is readable by then has been read. Any thread may call it. */
     public void runAfterNextReads(Runnable task) {
-        enqueue(() -> enqueue(() -> runExclusively(task))); // the selector selects between the two
-    }
-
-    /** A task that may fail as the connection breaks. */
-    private interface IoTask {
-        void run() throws IOException;
-    }
-
-    /** Runs a task on the I/O thread before it selects again, unless the connection is closed by then. */
-    private void enqueue(IoTask task) {
-        SelectorHandler selectorHandler = ((NIOTransport) connection.getTransport()).getSelectorHandler();
-        SelectorHandler.Task guarded = () -> {
-            if (connection.isOpen()) {
-                task.run();
-            }
-            return true;
-        };
-        selectorHandler.enque(((NIOConnection) connection).getSelectorRunner(), guarded, null);
+        readControl.runAfterNextReads(() -> runExclusively(task));
     }
 
     /** Runs a task of the handler, which is not called meanwhile. */
--- a/sip/src/main/java/walnutfield/sip/Flow.java
+++ b/sip/src/main/java/walnutfield/sip/Flow.java
@@ -12,4 +12,13 @@
 
     /** Sends one complete message. */
     void send(byte[] message);
+
+    /**
+     * Records that a message from the peer waits to be processed. The transport bounds their number: it reads a
+     * connection more slowly, and drops datagrams, whose senders retransmit them.
+     */
+    default void messageQueued() {}
+
+    /** Records that a message that waited was processed. */
+    default void messageProcessed() {}
 }
