After standing still, a gateway reads what came before it sends anything

Cause: EventLoop.run runs timers that are due before the I/O threads have read what came meanwhile; updates of the list overtake queued events only once they are read.

Change: after a turn of over 50 ms the loop waits, 50 ms at most, until what has arrived from hosts and board is read (TcpTransport.awaitReads), and runs urgent events first.

--- a/net/src/main/java/walnutfield/loop/EventLoop.java
+++ b/net/src/main/java/walnutfield/loop/EventLoop.java
@@ -26,6 +26,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
     private static final long MAX_IDLE_WAIT_MS = 1000;
     private static final long MAX_STOP_WAIT_MS = 2000;
+    private static final double MIN_STALL_MS = 50; // a turn that takes longer than this may have been a process stall
 
     /** A task that waits for its time. Used on the event loop only. */
     public final class Timer {
@@ -61,6 +62,8 @@
     private final Thread thread;
     private long nextTimerSequence;
     private double now = Clock.now();
+    private double lastTurnAt = Clock.now(); // when the latest turn of the loop began
+    private volatile Runnable stallListener = () -> {};
     private volatile boolean stopped;
 
     /**
@@ -77,6 +80,15 @@
         thread.start();
     }
 
+    /**
+     * Sets a listener that is called on the event loop after a possible stall of the process, before anything else is
+     * run. It may wait, for a short time, until what arrived during the stall has been read: urgent events among it are
+     * then run first. Otherwise a timer that is due could act on a host list that is out of date.
+     */
+    public void onStall(Runnable listener) {
+        stallListener = listener;
+    }
+
     /** Queues an event that must not be lost. */
     public void post(Runnable task) {
         queue.add(new PostedTask(Clock.now(), task));
@@ -141,6 +153,11 @@
         return now;
     }
 
+    /** Returns whether the process may have stood still since the current event was taken from the queue. */
+    public boolean isStalled() {
+        return Clock.now() - now > MIN_STALL_MS;
+    }
+
     public int queueSize() {
         return queue.size();
     }
@@ -184,13 +201,15 @@
     private void run() {
         PostedTask next = null; // taken from the queue but not run yet
         while (!stopped) {
+            double waitMs = next == null ? idleWaitMs() : 0;
             if (next == null) {
                 try {
-                    next = queue.poll((long) (idleWaitMs() * 1e6), TimeUnit.NANOSECONDS);
+                    next = queue.poll((long) (waitMs * 1e6), TimeUnit.NANOSECONDS);
                 } catch (InterruptedException e) {
                     return;
                 }
             }
+            reportStall(waitMs);
             for (Runnable urgentTask = urgent.poll(); urgentTask != null; urgentTask = urgent.poll()) {
                 now = Clock.now();
                 runGuarded(urgentTask);
@@ -209,6 +228,13 @@
         }
     }
 
+    private void reportStall(double waitMs) {
+        if (Clock.now() - lastTurnAt > waitMs + MIN_STALL_MS) {
+            runGuarded(stallListener);
+        }
+        lastTurnAt = Clock.now();
+    }
+
     /** Returns how long to wait for an event: until the next timer is due, within limits. */
     private double idleWaitMs() {
         if (timers.isEmpty()) {
--- a/net/src/main/java/walnutfield/net/stream/TcpTransport.java
+++ b/net/src/main/java/walnutfield/net/stream/TcpTransport.java
@@ -4,6 +4,8 @@
 import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -110,6 +112,26 @@
         return openStreams.get();
     }
 
+    /**
+     * Waits until the I/O thread has read what has arrived by now, and has passed it to the handlers.
+     *
+     * @return false if it had not done so within the timeout
+     */
+    public boolean awaitReads(long timeoutMs) {
+        TcpStream anyStream = registeredStreams.stream().findAny().orElse(null);
+        if (anyStream == null) {
+            return true;
+        }
+        CountDownLatch read = new CountDownLatch(1);
+        anyStream.runAfterNextReads(read::countDown);
+        try {
+            return read.await(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     /** A connection attempt in progress. */
     public interface PendingConnect {
         /** Abandons the attempt; none of its callbacks is called any more. */
--- a/net/src/test/java/walnutfield/net/stream/TcpTransportTest.java
+++ b/net/src/test/java/walnutfield/net/stream/TcpTransportTest.java
@@ -235,4 +235,21 @@
         }
         assertEquals("closed", nextEvent());
     }
+
+    /** Guards against notices that a host drains which are read only after something was sent to it. */
+    @Test
+    void whatHasArrivedIsPassedOnBeforeAwaitReadsReturns() throws Exception {
+        InetSocketAddress address = streams.bind(new InetSocketAddress("127.0.0.1", 0), stream -> {
+            events.add("accepted");
+            return recordingHandler();
+        });
+        try (Socket peer = new Socket(address.getAddress(), address.getPort())) {
+            assertEquals("accepted", nextEvent());
+            for (int i = 0; i < 100; i++) {
+                peer.getOutputStream().write('a');
+                assertTrue(streams.awaitReads(1_000));
+                assertEquals("a", events.poll(), "it was not read");
+            }
+        }
+    }
 }
