--- a/net/src/main/java/walnutfield/net/sip/SipTransport.java
+++ b/net/src/main/java/walnutfield/net/sip/SipTransport.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -31,6 +30,7 @@
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import walnutfield.net.ErrorReportingFilter;
 import walnutfield.net.ReadControl;
+import walnutfield.net.ReadLimit;
 import walnutfield.sip.Flow;
 import walnutfield.sip.Framer;
 import walnutfield.sip.MalformedMessageException;
@@ -224,15 +224,15 @@
         private final InetSocketAddress peer;
         private final int localPort;
         private final Framer framer;
-        private final ReadControl readControl;
-        private final AtomicInteger queued = new AtomicInteger();
-        private final AtomicBoolean paused = new AtomicBoolean();
+        private final ReadLimit limit;
 
         TcpFlow(Connection<?> newConnection) {
             connection = newConnection;
             peer = (InetSocketAddress) newConnection.getPeerAddress();
             localPort = ((InetSocketAddress) newConnection.getLocalAddress()).getPort();
-            readControl = new ReadControl(newConnection);
+            ReadControl readControl = new ReadControl(newConnection);
+            limit = new ReadLimit(
+                    MAX_QUEUED_PER_CONNECTION, readControl::pause, () -> readControl.resume(this::readMessages));
             framer = new Framer(MAX_MESSAGE_BYTES, m -> receiver.onMessage(m, this, localPort), () -> send(PONG));
         }
 
@@ -264,34 +264,26 @@
         /** Passes on the messages that have arrived, until too many wait to be processed. */
         private void readMessages() {
             try {
-                while (queued.get() < MAX_QUEUED_PER_CONNECTION && framer.deliverNext()) {
+                while (!limit.isReached() && framer.deliverNext()) {
                     // delivers one message at a time
                 }
             } catch (MalformedMessageException e) {
                 connection.closeSilently();
                 return;
             }
-            if (queued.get() >= MAX_QUEUED_PER_CONNECTION) {
-                readControl.pause();
-                paused.set(true);
-                resumeIfDrained(queued.get()); // they may have been processed meanwhile
-            }
-        }
-
-        private void resumeIfDrained(int left) {
-            if (left <= MAX_QUEUED_PER_CONNECTION / 2 && paused.compareAndSet(true, false)) {
-                readControl.resume(this::readMessages);
+            if (limit.isReached()) {
+                limit.pause();
             }
         }
 
         @Override
         public void messageQueued() {
-            queued.incrementAndGet();
+            limit.add(1);
         }
 
         @Override
         public void messageProcessed() {
-            resumeIfDrained(queued.decrementAndGet());
+            limit.remove(1);
         }
     }
 
