--- a/gateway/src/main/java/walnutfield/gateway/HlsViewing.java
+++ b/gateway/src/main/java/walnutfield/gateway/HlsViewing.java
@@ -6,6 +6,7 @@
 import walnutfield.desk.Call;
 import walnutfield.net.Client;
 import walnutfield.orca.LoadField;
+import walnutfield.play.HostId;
 import walnutfield.play.Outcome;
 import walnutfield.play.PlayId;
 import walnutfield.sse.Event;
@@ -290,16 +291,14 @@
         if (!play.equals(monitoredPlay) || eventStream == null) {
             return;
         }
+        HostId reporter = hls.plays().reportingHost(this);
         if (event.type().equals("load")) {
-            hls.plays()
-                    .notifyDesk(new Call.LoadReported(hls.plays().reportingHost(this), LoadField.read(event.data())));
+            hls.plays().notifyDesk(new Call.LoadReported(reporter, LoadField.read(event.data())));
         } else if (event.type().equals("share")) {
             try {
                 double share = Double.parseDouble(event.data());
                 if (share >= 0 && share <= 1) {
-                    hls.plays()
-                            .notifyDesk(
-                                    new Call.DeliveredShareReported(hls.plays().reportingHost(this), share));
+                    hls.plays().notifyDesk(new Call.DeliveredShareReported(reporter, share));
                 }
             } catch (NumberFormatException invalid) {
                 LOG.atWarn().addKeyValue("host", host.value()).log("delivered share is not a number");
--- a/gateway/src/main/java/walnutfield/gateway/HostMonitor.java
+++ b/gateway/src/main/java/walnutfield/gateway/HostMonitor.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import walnutfield.desk.Call;
+import walnutfield.play.HostId;
 import walnutfield.play.LoadReport;
 import walnutfield.play.PlayId;
 import walnutfield.sip.ClientTransaction;
@@ -75,14 +76,14 @@
         if (anyCall == null) {
             return;
         }
+        HostId reporter = calls.plays().reportingHost(anyCall);
         LoadReport load = SipFront.loadReport(response);
         if (load != LoadReport.NONE) {
-            calls.plays().notifyDesk(new Call.LoadReported(calls.plays().reportingHost(anyCall), load));
+            calls.plays().notifyDesk(new Call.LoadReported(reporter, load));
         }
         double share = SipFront.deliveredShare(response);
         if (!Double.isNaN(share)) {
-            calls.plays()
-                    .notifyDesk(new Call.DeliveredShareReported(calls.plays().reportingHost(anyCall), share));
+            calls.plays().notifyDesk(new Call.DeliveredShareReported(reporter, share));
         }
     }
 
